--- a/packages/core/src/logger.ts
+++ b/packages/core/src/logger.ts
@@ -22,12 +22,17 @@
 
 const redactedPaths = ['authorization', '*.authorization', 'headers["x-api-key"]', 'key', '*.key', 'idempotencyKey'];
 
+/** Log lines that wait for a slow reader; beyond this size in bytes new lines are dropped, so that logging never blocks. */
+const maxWaitingBytes = 4 * 1024 * 1024;
+
 /** Creates the structured logger of a process; `level` is a pino level. */
-export function createLogger(name: string, level = process.env.FESCUEWICK_LOG ?? 'info'): Logger {
+export function createLogger(name: string, level = process.env.FESCUEWICK_LOG ?? 'info', target: 'stdout' | 'stderr' = 'stderr'): Logger {
 	// An asynchronous destination in this process; pino's transports would start worker threads with shared memory.
 	return pino({
 		name, level, timestamp: stdTimeFunctions.isoTime, redact: redactedPaths,
-	}, destination({dest: 2, sync: false, minLength: 4096}));
+	}, destination({
+		dest: target === 'stdout' ? 1 : 2, sync: false, minLength: 4096, maxLength: maxWaitingBytes,
+	}));
 }
 
 /** Creates a logger that discards everything, for tests. */
--- a/packages/core/src/result-codes.ts
+++ b/packages/core/src/result-codes.ts
@@ -66,6 +66,7 @@
 	storeValueTooLarge = 3004,
 	storeNotFound = 3005,
 	storeMalformed = 3006,
+	storeHistoryGone = 3007,
 
 	configurationInvalid = 4000,
 	configurationConflict = 4001,
@@ -148,6 +149,7 @@
 	[ResultCode.storeValueTooLarge]: notRun(413, 'The value is larger than the object store takes.'),
 	[ResultCode.storeNotFound]: notRun(404, 'The object does not exist.'),
 	[ResultCode.storeMalformed]: unknown(502, 'The object store gave an answer that cannot be read.'),
+	[ResultCode.storeHistoryGone]: notRun(410, 'The object store no longer holds the changes since the given revision.'),
 
 	[ResultCode.configurationInvalid]: notRun(422, 'The configuration is not valid.'),
 	[ResultCode.configurationConflict]: notRun(409, 'The configuration changed since it was read.'),
--- a/packages/entry/src/forward/retry-budget.ts
+++ b/packages/entry/src/forward/retry-budget.ts
@@ -1,16 +1,24 @@
 import {type TimerService} from '@fescuewick/core';
 
-const windowMs = 10_000;
-const fraction = 0.1;
-const minimumPerS = 1;
-
-/** Limits repeated attempts to 10 % of the first attempts of the last 10 s, plus one per second. */
+/** How many repeated attempts a budget allows. */
+export type RetryLimits = {
+	readonly windowMs: number;
+	/** Part of the first attempts of the window, 0 to 1. */
+	readonly fraction: number;
+	/** Repeated attempts in a window that are allowed in any case. */
+	readonly minimumCount: () => number;
+};
+
+/** 10 % of the first attempts of the last 10 s, plus one per second. */
+const defaultLimits: RetryLimits = {windowMs: 10_000, fraction: 0.1, minimumCount: () => 10};
+
+/** Limits repeated attempts to a part of the first attempts of a sliding window, plus a fixed count. */
 export class RetryBudget {
 	readonly #firsts: Array<{atMs: number; count: number}> = [];
 	#repeats: number[] = [];
 	#firstCount = 0;
 
-	constructor(private readonly timers: TimerService) {}
+	constructor(private readonly timers: TimerService, private readonly limits = defaultLimits) {}
 
 	/** Counts a first attempt. */
 	first(): void {
@@ -23,12 +31,14 @@
 		} else {
 			this.#firsts.push({atMs: nowMs, count: 1});
 		}
+
+		this.#expire();
 	}
 
 	/** Takes one repeated attempt out of the budget; returns false when it is used up. */
 	take(): boolean {
 		this.#expire();
-		if (this.#repeats.length >= Math.floor(this.#firstCount * fraction) + (minimumPerS * windowMs / 1000)) {
+		if (this.#repeats.length >= Math.floor(this.#firstCount * this.limits.fraction) + this.limits.minimumCount()) {
 			return false;
 		}
 
@@ -37,11 +47,13 @@
 	}
 
 	#expire(): void {
-		const sinceMs = this.timers.nowMs() - windowMs;
+		const sinceMs = this.timers.nowMs() - this.limits.windowMs;
 		while (this.#firsts.length > 0 && this.#firsts[0].atMs < sinceMs) {
 			this.#firstCount -= this.#firsts.shift()!.count;
 		}
 
-		this.#repeats = this.#repeats.filter(atMs => atMs >= sinceMs);
+		if (this.#repeats.length > 0 && this.#repeats[0] < sinceMs) {
+			this.#repeats = this.#repeats.filter(atMs => atMs >= sinceMs);
+		}
 	}
 }
--- /dev/null
+++ b/packages/entry/src/http.ts
@@ -0,0 +1,5 @@
+export * from './backends/connections.js';
+export * from './forward/attempt.js';
+export * from './forward/retry-budget.js';
+export * from './request/body-reader.js';
+export {answerHeaders, forwardHeaders} from './request/headers.js';
--- /dev/null
+++ b/packages/gateway/src/forward/request-run.ts
@@ -0,0 +1,591 @@
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {
+	errorBody, ResultCode, resultCodeName, resultCodeTable, type Cancel,
+} from '@fescuewick/core';
+import {
+	answerHeaders, Attempt, forwardHeaders, type AnswerHead, type RequestBody,
+} from '@fescuewick/entry/http';
+import {admittedWaitMs, retryAfterMs} from '../admission/admission.js';
+import {type Waiting} from '../admission/waiting-line.js';
+import {type Route, type Workspace} from '../model/configuration.js';
+import {type Backend} from '../placement/backend.js';
+import {homesOf, NoPlacement, type Placement} from '../placement/placer.js';
+import {type ForwardingContext} from './forwarding-context.js';
+import {type AnswerFields, type RequestFields} from './header-dialect.js';
+import {FailureKind, mayRetry} from './retry-policy.js';
+
+/** Answers up to this size are held until they are complete, so that a broken one can be replaced; longer ones are passed on as they come. */
+const maxHeldBytes = 262_144;
+/** A connection for a request that may not be repeated must have proved alive within this time, in milliseconds. */
+const provenWithinMs = 500;
+/** A request that takes this many times its usual duration may be sent to a second server as well. */
+const rescueFactor = 4;
+/** Shortest time after which that is done, in milliseconds. */
+const minRescueMs = 1000;
+/** Latencies under this say nothing about a server's speed, in milliseconds. */
+const minMeasuredMs = 20;
+
+/** Statuses by which callers conclude that a request has not run. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** A request that was admitted: route, workspace and body are known. */
+export type AdmittedRequest = {
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly fields: RequestFields;
+	readonly id: string;
+	readonly route: Route;
+	readonly workspace: Workspace | undefined;
+	readonly service: string;
+	readonly body: RequestBody;
+	readonly arrivedAtMs: number;
+	/** When the answer has to be there. */
+	readonly deadlineAtMs: number;
+};
+
+type Sending = {readonly attempt: Attempt; readonly backend: Backend; readonly sentAtMs: number; chunks: Buffer[]; sizeBytes: number; isStreaming: boolean};
+
+/** Leads one request to its answer: waits for a slot, sends it, sends it again where that is safe, and answers once. */
+export class RequestRun implements Waiting {
+	readonly priority: number;
+	readonly #excluded = new Set<string>();
+	readonly #sendings = new Set<Sending>();
+	readonly #cancels: Cancel[] = [];
+	readonly #homes: readonly string[] | undefined;
+	#runs = 0;
+	#attempts = 0;
+	#isWaiting = false;
+	#cancelWait: Cancel | undefined;
+	#waitedMs = 0;
+	#isOver = false;
+	#lastServer: string | undefined;
+	#placement: Placement | undefined;
+
+	constructor(private readonly context: ForwardingContext, private readonly admitted: AdmittedRequest) {
+		this.priority = admitted.workspace?.priority ?? admitted.route.priority;
+		this.#homes = homesOf(admitted.route, admitted.workspace);
+	}
+
+	get arrivedAtMs(): number {
+		return this.admitted.arrivedAtMs;
+	}
+
+	/** Starts the request. */
+	start(): void {
+		const {response, deadlineAtMs, service} = this.admitted;
+		const {timers, lines, placer} = this.context;
+		placer.arrived(service);
+		response.once('close', () => {
+			if (!response.writableFinished) {
+				this.#leave();
+			}
+		});
+		this.#cancels.push(timers.after(deadlineAtMs - timers.nowMs(), () => {
+			this.#expire();
+		}));
+		// A newcomer does not overtake requests that wait.
+		if (lines.of(service).ahead(this.priority) > 0 || !this.tryPlace()) {
+			this.#wait();
+		}
+	}
+
+	/** Sends the request if a server has room; returns whether it no longer waits. */
+	tryPlace(): boolean {
+		if (this.#isOver) {
+			return true;
+		}
+
+		const {placer} = this.context;
+		const {service, fields, route} = this.admitted;
+		const placement = placer.place({
+			service, affinityKey: route.hasAffinity ? fields.affinityKey : undefined, homeRegions: this.#homes, excluded: this.#excluded,
+		});
+		if (placement === NoPlacement.full) {
+			return false;
+		}
+
+		this.#endWait();
+		if (placement === NoPlacement.none) {
+			this.#giveUp(ResultCode.noBackend, 'no usable server');
+		} else {
+			this.#send(placement);
+		}
+
+		return true;
+	}
+
+	/** Ends the request when the process has to stop. */
+	abandon(): void {
+		this.#giveUp(this.#runs > 0 ? ResultCode.backendCut : ResultCode.draining, 'the VM stops');
+	}
+
+	get #timeLeftMs(): number {
+		return this.admitted.deadlineAtMs - this.context.timers.nowMs();
+	}
+
+	get #expectedMs(): number {
+		const {route} = this.admitted;
+		return this.context.latency.expectedMs(route.name, route.targetMs / 2);
+	}
+
+	#wait(): void {
+		const {lines, placer, latency, timers} = this.context;
+		const {service, route} = this.admitted;
+		const line = lines.of(service);
+		const waitMs = admittedWaitMs({
+			ahead: line.ahead(this.priority),
+			slots: placer.slotsInRegion(service),
+			serviceMs: latency.expectedMs(service, route.targetMs / 2),
+			expectedMs: this.#expectedMs,
+			targetMs: Math.max(0, route.targetMs - (timers.nowMs() - this.arrivedAtMs)),
+			timeLeftMs: this.#timeLeftMs,
+		});
+		if (waitMs <= 0) {
+			this.#giveUp(ResultCode.queueFull, 'no slot in time');
+			return;
+		}
+
+		this.#isWaiting = true;
+		const startedAtMs = timers.nowMs();
+		line.add(this);
+		const cancel = timers.after(waitMs, () => {
+			this.#endWait();
+			this.#giveUp(ResultCode.queueFull, 'no slot became free');
+		});
+		this.#cancelWait = () => {
+			cancel();
+			this.#waitedMs += timers.nowMs() - startedAtMs;
+		};
+	}
+
+	#endWait(): void {
+		if (this.#isWaiting) {
+			this.#isWaiting = false;
+			this.#cancelWait?.();
+			this.context.lines.of(this.admitted.service).remove(this);
+		}
+	}
+
+	#send(placement: Placement): void {
+		const {timers, dialect, budgets} = this.context;
+		const {request, fields, route, workspace, service, body} = this.admitted;
+		const {backend} = placement;
+		const isReplayable = body.rest === undefined;
+		const connection = backend.connections.acquire(route.isRepeatable && isReplayable ? undefined : provenWithinMs);
+		if (connection === undefined) {
+			this.#excluded.add(backend.id);
+			this.#next(FailureKind.notRun, ResultCode.noBackend, 'no connection is left');
+			return;
+		}
+
+		const nowMs = timers.nowMs();
+		this.#placement = placement;
+		this.#lastServer = backend.id;
+		if (this.#attempts === 0) {
+			budgets.of(service).first();
+		}
+
+		this.#attempts++;
+		this.#excluded.add(backend.id);
+		backend.inFlight++;
+		if (backend.isCold(nowMs)) {
+			backend.coldSent.add(nowMs);
+		}
+
+		const attempt = new Attempt(connection, {
+			onHead: () => undefined,
+			onData: (_attempt, chunk) => this.#onData(sending, chunk),
+			onEnd: () => {
+				this.#onEnd(sending);
+			},
+			onFail: (_attempt, error) => {
+				this.#onFail(sending, error);
+			},
+		});
+		const sending: Sending = {
+			attempt, backend, sentAtMs: nowMs, chunks: [], sizeBytes: 0, isStreaming: false,
+		};
+		this.#sendings.add(sending);
+		const headers = forwardHeaders(request.rawHeaders, false, value => fields.key !== undefined && value.includes(fields.key));
+		attempt.send({
+			method: request.method!,
+			path: request.url!,
+			headers: [
+				'host', request.headers.host!,
+				...keptPairs(headers, name => dialect.isReserved(name)),
+				...dialect.forwarded({timeLeftMs: Math.max(1, Math.floor(this.#timeLeftMs)), workspace: workspace?.name, server: backend.id}),
+			],
+			body: body.rest ?? (body.held.length > 0 ? body.held : undefined),
+		});
+		if (route.isRepeatable && isReplayable) {
+			this.#scheduleRescue(sending);
+		}
+	}
+
+	/** Sends a repeatable request to a second server when the first is silent for much longer than usual. */
+	#scheduleRescue(sending: Sending): void {
+		const {timers} = this.context;
+		this.#cancels.push(timers.after(Math.max(minRescueMs, this.#expectedMs * rescueFactor), () => {
+			const isSilent = this.#sendings.has(sending) && sending.attempt.head === undefined;
+			if (this.#isOver || !isSilent || this.#sendings.size > 1 || !this.#allowsRetry(FailureKind.unknown)) {
+				return;
+			}
+
+			sending.backend.outcome(true, undefined, timers.nowMs());
+			this.tryPlace();
+		}));
+	}
+
+	#onData(sending: Sending, chunk: Buffer): boolean {
+		sending.sizeBytes += chunk.length;
+		if (!sending.isStreaming) {
+			sending.chunks.push(Buffer.from(chunk));
+			if (sending.sizeBytes <= maxHeldBytes) {
+				return true;
+			}
+
+			return this.#beginStream(sending);
+		}
+
+		return this.#write(sending, chunk);
+	}
+
+	/** Starts to pass on a long answer; the other attempts end. */
+	#beginStream(sending: Sending): boolean {
+		const problem = this.#problemOf(sending);
+		if (problem !== undefined) {
+			sending.attempt.cancel();
+			this.#onFail(sending, new Error(problem));
+			return false;
+		}
+
+		sending.isStreaming = true;
+		this.#cancelOthers(sending);
+		const {response} = this.admitted;
+		const {status, headers} = sending.attempt.head!;
+		response.writeHead(status, this.#answerHeaders(headers));
+		const chunks = sending.chunks;
+		sending.chunks = [];
+		return this.#write(sending, Buffer.concat(chunks));
+	}
+
+	#write(sending: Sending, chunk: Buffer): boolean {
+		const {response} = this.admitted;
+		if (response.write(chunk)) {
+			return true;
+		}
+
+		response.once('drain', () => {
+			sending.attempt.resume();
+		});
+		return false;
+	}
+
+	#onEnd(sending: Sending): void {
+		const {timers, dialect, latency} = this.context;
+		const {route, service} = this.admitted;
+		const {backend, attempt} = sending;
+		const head = attempt.head!;
+		const nowMs = timers.nowMs();
+		const answer = dialect.readAnswer(head.status, head.headers);
+		this.#finish(sending);
+		if (sending.isStreaming) {
+			backend.connections.release(attempt.connection);
+			this.admitted.response.end();
+			this.#over(ResultCode.ok, head.status);
+			return;
+		}
+
+		const problem = this.#problemOf(sending);
+		if (problem !== undefined) {
+			backend.connections.discard(attempt.connection);
+			this.#runs++;
+			backend.outcome(true, undefined, nowMs);
+			this.#next(FailureKind.unknown, ResultCode.backendMalformed, problem);
+			return;
+		}
+
+		backend.connections.release(attempt.connection);
+		this.#learn(backend, answer, nowMs);
+		if (answer.isNotRun || answer.isMisdirected) {
+			this.#rejected(backend, answer, nowMs);
+			return;
+		}
+
+		this.#runs++;
+		const durationMs = nowMs - sending.sentAtMs;
+		const isFailure = head.status >= 500;
+		if (!isFailure && durationMs > minMeasuredMs) {
+			const usualMs = this.#expectedMs;
+			latency.add(route.name, durationMs, route.targetMs / 2);
+			latency.add(service, durationMs, route.targetMs / 2);
+			backend.outcome(false, durationMs / usualMs, nowMs);
+		} else {
+			backend.outcome(isFailure, undefined, nowMs);
+		}
+
+		if (isFailure && this.#allowsRetry(FailureKind.serverError)) {
+			this.#again();
+			return;
+		}
+
+		this.#answer(sending, head);
+	}
+
+	/** Takes in what an answer says of its server. */
+	#learn(backend: Backend, {load, coldRemainingMs}: AnswerFields, nowMs: number): void {
+		if (load !== undefined) {
+			backend.report(load, nowMs);
+		}
+
+		if (coldRemainingMs !== undefined) {
+			backend.coldFor(coldRemainingMs, nowMs);
+		}
+	}
+
+	#rejected(backend: Backend, answer: AnswerFields, nowMs: number): void {
+		if (answer.isMisdirected) {
+			this.context.placer.misdirected(backend);
+		} else {
+			backend.shed(nowMs);
+			backend.outcome(true, undefined, nowMs);
+		}
+
+		this.#next(FailureKind.notRun, ResultCode.backendShed, answer.isMisdirected ? 'another server has the address' : 'the server rejected the request');
+	}
+
+	/** What is wrong with an answer; undefined if it may be passed on. */
+	#problemOf({attempt}: Sending): string | undefined {
+		const {status, headers} = attempt.head!;
+		const answer = this.context.dialect.readAnswer(status, headers);
+		if (answer.id !== undefined && answer.id !== this.admitted.id) {
+			return 'the answer belongs to another request';
+		}
+
+		// Callers take these statuses as a promise that the request has not run.
+		if (notRunStatuses.has(status) && !answer.isNotRun && !answer.isMisdirected) {
+			return `the server answered ${status} without saying that it did not run the request`;
+		}
+
+		if (status < 300 && !answer.isProven) {
+			return 'the answer does not come from the server itself';
+		}
+
+		return headers['content-encoding'] === undefined ? undefined : 'the answer is encoded';
+	}
+
+	#onFail(sending: Sending, error: Error): void {
+		const {timers, placer} = this.context;
+		const {backend, attempt} = sending;
+		this.#finish(sending);
+		backend.connections.discard(attempt.connection);
+		if (this.#isOver) {
+			return;
+		}
+
+		if (sending.isStreaming) {
+			this.admitted.request.socket.resetAndDestroy();
+			this.#over(ResultCode.backendCut, undefined, error.message);
+			return;
+		}
+
+		backend.outcome(true, undefined, timers.nowMs());
+		if (attempt.written) {
+			this.#runs++;
+			this.#next(FailureKind.unknown, ResultCode.backendCut, error.message);
+		} else {
+			placer.unreachable(backend, error.message);
+			this.#next(FailureKind.notRun, ResultCode.backendConnectFailed, error.message);
+		}
+	}
+
+	#finish(sending: Sending): void {
+		if (this.#sendings.delete(sending)) {
+			sending.backend.inFlight--;
+			this.context.lines.roomFor(this.admitted.service);
+		}
+	}
+
+	/** Decides what follows a failed attempt. */
+	#next(kind: FailureKind, code: ResultCode, reason: string): void {
+		if (this.#isOver || this.#sendings.size > 0) {
+			return;
+		}
+
+		if (this.#allowsRetry(kind)) {
+			this.#again();
+			return;
+		}
+
+		// Only attempts that ran or may have run make the outcome uncertain.
+		const isNotRun = this.#runs === 0;
+		this.#giveUp(isNotRun && resultCodeTable[code].httpStatus !== 503 ? ResultCode.noBackend : code, reason);
+	}
+
+	#allowsRetry(kind: FailureKind): boolean {
+		const {route, body, service} = this.admitted;
+		if (body.rest !== undefined) {
+			return false;
+		}
+
+		const isAllowed = mayRetry({
+			kind, isRepeatable: route.isRepeatable, runs: Math.max(this.#runs, this.#sendings.size), attempts: this.#attempts, maxAttempts: route.maxAttempts, timeLeftMs: this.#timeLeftMs, expectedMs: this.#expectedMs,
+		});
+		return isAllowed && this.context.budgets.of(service).take();
+	}
+
+	#again(): void {
+		if (!this.tryPlace()) {
+			if (this.#runs > 0) {
+				this.#giveUp(ResultCode.backendCut, 'no second server has room');
+			} else {
+				this.#wait();
+			}
+		}
+	}
+
+	/** Answers with what a server answered. */
+	#answer(sending: Sending, head: AnswerHead): void {
+		const {response, request} = this.admitted;
+		this.#cancelOthers(sending);
+		const body = Buffer.concat(sending.chunks);
+		const headers = this.#answerHeaders(head.headers);
+		if (request.method !== 'HEAD' && head.status !== 304 && head.status !== 204) {
+			headers['content-length'] = String(body.length);
+		}
+
+		response.writeHead(head.status, headers);
+		response.end(body);
+		this.#over(ResultCode.ok, head.status);
+	}
+
+	#answerHeaders(headers: AnswerHead['headers']): Record<string, string | string[]> {
+		const kept = answerHeaders(headers);
+		if (headers['transfer-encoding'] !== undefined) {
+			delete kept['content-length'];
+		}
+
+		if (this.context.isDraining()) {
+			kept.connection = 'close';
+		}
+
+		return kept;
+	}
+
+	#expire(): void {
+		if (this.#sendings.size === 0) {
+			this.#giveUp(this.#runs > 0 ? ResultCode.backendCut : ResultCode.deadlineUnreachable, 'the time is over');
+			return;
+		}
+
+		const isSent = [...this.#sendings].some(({attempt}) => attempt.written);
+		this.#giveUp(isSent || this.#runs > 0 ? ResultCode.backendTimeout : ResultCode.deadlineUnreachable, 'the time is over');
+	}
+
+	/** Ends the request with an answer of the system. */
+	#giveUp(code: ResultCode, reason: string): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		const {admitted: {response, request, id, workspace}, context} = this;
+		const isNotRun = this.#runs === 0 && [...this.#sendings].every(({attempt}) => !attempt.written);
+		this.#cancelOthers(undefined);
+		if (isNotRun && workspace !== undefined) {
+			context.limiter.giveBack(workspace.name);
+		}
+
+		const retryMs = isNotRun ? retryAfterMs(this.#timeLeftMs, context.random()) : undefined;
+		if (!response.headersSent) {
+			sendError({
+				response, code, id, retryMs, idHeader: context.dialect.requestIdHeader, isClosing: context.isDraining() || !request.complete,
+			});
+		}
+
+		this.#over(code, resultCodeTable[code].httpStatus, reason);
+	}
+
+	/** The caller closed its connection. */
+	#leave(): void {
+		if (!this.#isOver) {
+			this.#cancelOthers(undefined);
+			this.#over(ResultCode.callerLeft, undefined, 'the caller left');
+		}
+	}
+
+	#cancelOthers(kept: Sending | undefined): void {
+		for (const sending of this.#sendings) {
+			if (sending !== kept) {
+				sending.attempt.cancel();
+				sending.backend.connections.discard(sending.attempt.connection);
+				this.#finish(sending);
+			}
+		}
+	}
+
+	#over(code: ResultCode, status: number | undefined, reason?: string): void {
+		this.#isOver = true;
+		this.#endWait();
+		for (const cancel of this.#cancels) {
+			cancel();
+		}
+
+		const {context, admitted: {id, route, workspace, service, arrivedAtMs}} = this;
+		const placement = this.#placement;
+		context.finished(this, {
+			id,
+			route: route.name,
+			service,
+			workspace: workspace?.name,
+			code,
+			outcome: resultCodeName(code),
+			status,
+			reason,
+			durationMs: Math.round(context.timers.nowMs() - arrivedAtMs),
+			waitedMs: Math.round(this.#waitedMs),
+			attempts: this.#attempts,
+			server: this.#lastServer,
+			placed: placement?.reason,
+			load: placement && Math.round(placement.load * 10) / 10,
+			isRemote: placement?.isRemote,
+			expectedMs: Math.round(this.#expectedMs),
+			configuration: context.configurationVersion(),
+		});
+	}
+}
+
+/** An answer of the system itself. */
+export type ErrorAnswer = {
+	readonly response: ServerResponse;
+	readonly code: ResultCode;
+	readonly id: string | undefined;
+	readonly idHeader: string;
+	/** When the caller should come back, in milliseconds. */
+	readonly retryMs?: number;
+	readonly isClosing: boolean;
+	readonly message?: string;
+};
+
+/** Answers with a numbered error. */
+export function sendError({response, code, id, idHeader, retryMs, isClosing, message}: ErrorAnswer): void {
+	const content = Buffer.from(JSON.stringify(errorBody(code, message, retryMs)));
+	response.writeHead(resultCodeTable[code].httpStatus, {
+		'content-type': 'application/json',
+		'content-length': String(content.length),
+		'x-fescuewick-code': String(code),
+		...(id === undefined ? {} : {[idHeader]: id}),
+		...(retryMs === undefined ? {} : {'retry-after': (retryMs / 1000).toFixed(2)}),
+		...(isClosing ? {connection: 'close'} : {}),
+	});
+	response.end(content);
+}
+
+function * keptPairs(headers: readonly string[], isReserved: (name: string) => boolean): Generator<string> {
+	for (let index = 0; index < headers.length; index += 2) {
+		if (!isReserved(headers[index].toLowerCase())) {
+			yield headers[index];
+			yield headers[index + 1];
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,357 @@
+import {performance} from 'node:perf_hooks';
+import {Agent} from 'undici';
+import {
+	Metrics, ResultCode, toFescuewickError, type Cancel, type Logger, type TimerService,
+} from '@fescuewick/core';
+import {Collection, type CollectionStore} from '@fescuewick/store';
+import {entryAddressesFor} from './directory/entry-directory.js';
+import {RetryBudgets, WaitingLines, type ForwardingContext, type RequestSummary} from './forward/forwarding-context.js';
+import {type HeaderDialect} from './forward/header-dialect.js';
+import {RouteLatency} from './forward/route-latency.js';
+import {divisionIntervalMs, WorkspaceLimiter, type SharingPeers} from './limits/workspace-limiter.js';
+import {type VmRecord} from './model/records.js';
+import {CatchUp} from './peers/catch-up.js';
+import {Gossip} from './peers/gossip.js';
+import {type Heartbeat} from './peers/heartbeat.js';
+import {PeerClient} from './peers/peer-client.js';
+import {PeerTable} from './peers/peer-table.js';
+import {Placer} from './placement/placer.js';
+import {Prober} from './placement/prober.js';
+import {applyLimits, createFrontServer, stopFrontServer} from './server/front-server.js';
+import {RequestHandler} from './server/request-handler.js';
+import {
+	createDirectoryServer, createMetricsServer, createPeerServer, createReadinessServer, listenAt, type SideInterface, type SideServerOptions,
+} from './server/side-servers.js';
+import {type GatewaySettings} from './settings.js';
+import {FleetState} from './state/fleet-state.js';
+import {StoreFollower} from './state/store-follower.js';
+import {StoreGate} from './state/store-gate.js';
+
+/** Collections that every VM follows; VMs are read at the start and learned from heartbeats afterwards. */
+const followed = [Collection.configurations, Collection.backends, Collection.evacuations] as const;
+/** Mean wait of a watch, in milliseconds. With each VM's watches ending at another time, some VM soon notices that open connections went silent, and tells the others. */
+const watchWaitMs = 8000;
+/** Time a directory answer may be used, in milliseconds; a lost VM is named for at most this long after its peers noticed. */
+const directoryTtlMs = 2000;
+/** Part of the retry budget that is used; the rest covers windows that do not match and VMs that joined. */
+const retryPart = 0.75;
+/** Time after a failure of the store in which removed entries may be expirations, in milliseconds. */
+const lapseWindowMs = 3000;
+/** How often silent peers and held servers are looked for, in milliseconds. */
+const expiryIntervalMs = 250;
+/** A starting VM asks its seeds when the store has not answered for this time, in milliseconds. */
+const seedDelayMs = 400;
+/** Time in which a starting VM hopes for its copies before it listens anyway, in milliseconds. */
+const startWaitMs = 1500;
+/** Upper bounds of latency buckets, in seconds. */
+const latencyBucketsS = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+
+/** What a gateway needs besides its settings. */
+export type GatewayDependencies = {
+	readonly store: CollectionStore;
+	readonly dialect: HeaderDialect;
+	readonly sides: SideInterface;
+	readonly timers: TimerService;
+	readonly logger: Logger;
+	readonly random: () => number;
+};
+
+/** One VM's daemon: follows the store, talks to its peers, serves requests, look-ups and readiness. */
+export class Gateway {
+	readonly #gate: StoreGate;
+	readonly #state: FleetState;
+	readonly #peers: PeerTable;
+	readonly #gossip: Gossip;
+	readonly #catchUp: CatchUp;
+	readonly #peerClient = new PeerClient();
+	readonly #followers: Record<string, StoreFollower>;
+	readonly #limiter: WorkspaceLimiter;
+	readonly #lines = new WaitingLines();
+	readonly #placer: Placer;
+	readonly #prober: Prober;
+	readonly #probeAgent = new Agent({pipelining: 1, connect: {timeout: 500}});
+	readonly #handler: RequestHandler;
+	readonly #front;
+	readonly #sideServers;
+	readonly #metrics: Metrics;
+	readonly #self: VmRecord;
+	readonly #incarnation: number;
+	readonly #cancels: Cancel[] = [];
+	#isListening = false;
+	#isStopping = false;
+
+	constructor(private settings: GatewaySettings, private readonly deps: GatewayDependencies) {
+		const {timers, logger, random} = deps;
+		const {location, listen, regions} = settings;
+		this.#self = {
+			...location, entryAddress: listen.entry, peerAddress: listen.peers, heartbeatAddress: listen.heartbeats,
+		};
+		this.#incarnation = Math.floor(random() * (2 ** 31));
+		this.#metrics = new Metrics({vm: location.vm});
+		this.#gate = new StoreGate({timers, logger, random});
+		this.#state = new FleetState({
+			timers, logger, mayHaveLapsed: () => this.#gate.isFailing || timers.nowMs() - this.#gate.recoveredAtMs < lapseWindowMs,
+		});
+		this.#peers = new PeerTable({self: this.#self, timers, logger});
+		this.#catchUp = new CatchUp({
+			replicas: this.#state.replicas, client: this.#peerClient, timers, logger, onAdopted: collection => {
+				this.#followers[collection]?.restartWatch();
+			},
+		});
+		this.#gossip = new Gossip({
+			table: this.#peers,
+			timers,
+			logger,
+			describe: () => this.#describe(),
+			onHeartbeat: heartbeat => {
+				this.#catchUp.onHeartbeat(heartbeat);
+			},
+		});
+		this.#followers = Object.fromEntries(followed.map(collection => [collection, new StoreFollower({
+			store: deps.store, collection, replica: this.#state.replicas[collection], gate: this.#gate, timers, logger,
+			watchWaitMs: () => Math.round(watchWaitMs * (0.75 + (random() / 2))),
+		})]));
+		this.#limiter = new WorkspaceLimiter(timers);
+		this.#placer = new Placer({
+			state: this.#state,
+			timers,
+			logger,
+			region: location.region,
+			regionOf: failureDomain => regions[failureDomain],
+			bounds: () => this.settings.bounds,
+			sharersInRegion: () => [...this.#peers.sharing()].filter(({record}) => record.region === location.region).length,
+			onRoom: () => {
+				this.#lines.room();
+			},
+		});
+		this.#prober = new Prober({
+			placer: this.#placer,
+			timers,
+			logger,
+			dialect: deps.dialect,
+			dispatcher: this.#probeAgent,
+			region: location.region,
+			healthPathOf: service => this.#state.configuration?.services.get(service)?.healthPath,
+			onRoom: () => {
+				this.#lines.room();
+			},
+		});
+		const context = this.#createContext();
+		this.#handler = new RequestHandler(context, () => this.#state.configuration);
+		this.#front = createFrontServer(this.#handler, logger);
+		this.#sideServers = this.#createSideServers();
+		this.#state.events.on('configuration', index => {
+			this.#limiter.configure(index.workspaces.values(), this.#sharing());
+			applyLimits(this.#front, index.configuration.limits);
+		});
+	}
+
+	/** Whether callers may be sent to this VM. */
+	get isReady(): boolean {
+		return this.#isListening && !this.#isStopping && this.#state.configuration !== undefined && this.#state.replicas[Collection.backends].isLoaded;
+	}
+
+	/** Starts all parts; resolves when the VM listens. */
+	async start(): Promise<void> {
+		const {timers, logger} = this.deps;
+		const startedAtMs = timers.nowMs();
+		for (const {server, address} of this.#sideServers) {
+			await listenAt(server, address);
+		}
+
+		await this.#gossip.start();
+		for (const follower of Object.values(this.#followers)) {
+			void follower.run();
+		}
+
+		void this.#register();
+		this.#cancels.push(
+			timers.repeat(expiryIntervalMs, () => {
+				this.#peers.expire();
+				this.#state.expire();
+			}),
+			timers.repeat(divisionIntervalMs, () => {
+				this.#limiter.update(this.#sharing());
+			}),
+			timers.after(seedDelayMs, () => {
+				void this.#askSeeds();
+			}),
+		);
+		this.#prober.start();
+		while (this.#state.configuration === undefined && timers.nowMs() - startedAtMs < startWaitMs) {
+			await timers.sleep(20);
+		}
+
+		await listenAt(this.#front, this.settings.listen.entry);
+		this.#isListening = true;
+		this.#gossip.send(true);
+		logger.info({
+			event: 'started', vm: this.#self.vm, startMs: Math.round(timers.nowMs() - startedAtMs), processMs: Math.round(performance.now()), configuration: this.#state.configuration?.version,
+		}, 'gateway started');
+	}
+
+	/** Applies changed settings; addresses and location hold until the next start. */
+	reload(settings: GatewaySettings): void {
+		this.settings = {...this.settings, bounds: settings.bounds, seeds: settings.seeds};
+		this.deps.logger.info({event: 'reloaded', bounds: settings.bounds}, 'settings were read again');
+	}
+
+	/** Stops gracefully within the grace time of the settings. */
+	async stop(): Promise<void> {
+		const {timers, logger} = this.deps;
+		this.#isStopping = true;
+		this.#gossip.send(true);
+		logger.info({event: 'stopping', requests: this.#handler.runs.size}, 'gateway stops');
+		await stopFrontServer(this.#front, this.#handler, {timers, graceMs: this.settings.bounds.graceMs});
+		for (const cancel of this.#cancels) {
+			cancel();
+		}
+
+		for (const follower of Object.values(this.#followers)) {
+			follower.stop();
+		}
+
+		this.#prober.stop();
+		this.#gossip.stop();
+		for (const {server} of this.#sideServers) {
+			server.close();
+			server.closeAllConnections();
+		}
+
+		this.#front.closeAllConnections();
+		await Promise.all([this.#peerClient.close(), this.#probeAgent.destroy()]);
+		logger.info({event: 'stopped'}, 'gateway stopped');
+	}
+
+	#describe(): Omit<Heartbeat, 'sequence'> {
+		return {
+			record: this.#self,
+			incarnation: this.#incarnation,
+			isReady: this.isReady,
+			revisions: Object.fromEntries(followed.map(collection => [collection, this.#state.replicas[collection].revisions])),
+			demands: this.#limiter.demands(),
+		};
+	}
+
+	#sharing(): SharingPeers {
+		const sharing = [...this.#peers.sharing()];
+		return {members: sharing.length, demands: sharing.map(({demands}) => demands)};
+	}
+
+	#createContext(): ForwardingContext {
+		const {timers, random, dialect} = this.deps;
+		const requests = this.#metrics.counter('fescuewick_requests_total', 'Requests by result', ['result'] as const);
+		const latency = this.#metrics.histogram('fescuewick_request_duration_seconds', 'Time from arrival to the end of the answer', latencyBucketsS);
+		const {retryRatio, retryWindowMs} = this.settings.bounds;
+		return {
+			timers,
+			random,
+			dialect,
+			placer: this.#placer,
+			limiter: this.#limiter,
+			lines: this.#lines,
+			budgets: new RetryBudgets(timers, {
+				windowMs: retryWindowMs,
+				fraction: retryRatio * retryPart,
+				minimumCount: () => Math.floor(this.settings.bounds.retrySlack * retryPart / [...this.#peers.sharing()].length),
+			}),
+			latency: new RouteLatency(),
+			isDraining: () => this.#isStopping,
+			configurationVersion: () => this.#state.configuration?.version,
+			finished: (run, summary) => {
+				if (run !== undefined) {
+					this.#handler.finished(run);
+				}
+
+				requests.inc({result: String(summary.outcome)});
+				latency.observe(summary.durationMs / 1000);
+				this.#log(summary);
+			},
+		};
+	}
+
+	#log(summary: RequestSummary): void {
+		this.deps.logger.info({event: 'request', ...summary}, 'request');
+	}
+
+	#createSideServers() {
+		const {listen, bounds} = this.settings;
+		const options: SideServerOptions = {
+			sides: this.deps.sides,
+			isReady: () => this.isReady,
+			addressesFor: caller => this.#addressesFor(caller),
+			directoryTtlMs: Math.min(directoryTtlMs, bounds.maxDirectoryTtlMs),
+			replicas: this.#state.replicas,
+			members: () => [this.#self, ...this.#peers.records()],
+			metrics: this.#metrics,
+		};
+		return [
+			{server: createReadinessServer(options), address: listen.readiness},
+			{server: createDirectoryServer(options), address: listen.directory},
+			{server: createPeerServer(options), address: listen.peers},
+			{server: createMetricsServer(options), address: listen.metrics},
+		];
+	}
+
+	#addressesFor(caller: {readonly failureDomain: string; readonly region: string}): string[] {
+		const ready = [...this.#peers.alive()].filter(({isReady}) => isReady).map(({record}) => record);
+		return entryAddressesFor(caller, this.isReady ? [this.#self, ...ready] : ready);
+	}
+
+	/** Makes this VM known: reads the other VMs' records and writes its own if it is missing or differs. */
+	async #register(): Promise<void> {
+		const {store, timers, logger} = this.deps;
+		const vms = this.#state.replicas[Collection.vms];
+		for (let isDone = false; !isDone && !this.#isStopping;) {
+			await this.#gate.turn();
+			try {
+				const listing = await store.list(Collection.vms);
+				vms.applyListing(listing);
+				for (const {value} of listing.records) {
+					if (value !== undefined) {
+						this.#peers.learn(value as VmRecord);
+					}
+				}
+
+				const own = listing.records.find(({name}) => name === this.#self.vm)?.value;
+				if (JSON.stringify(own) !== JSON.stringify(this.#self)) {
+					await store.put(Collection.vms, this.#self.vm, this.#self);
+				}
+
+				this.#gate.succeeded();
+				this.#gossip.send(true);
+				// VMs that start at the same moment may have read the list before the others wrote.
+				await timers.sleep(1000);
+				isDone = listing.records.length > 0 && own !== undefined;
+			} catch (error) {
+				const {code, message} = toFescuewickError(error);
+				logger.warn({event: 'register-failed', code, reason: message}, 'could not register this VM');
+				this.#gate.failed(message);
+			}
+		}
+	}
+
+	async #askSeeds(): Promise<void> {
+		const {logger} = this.deps;
+		if (this.#state.configuration !== undefined || this.#isStopping) {
+			return;
+		}
+
+		for (const seed of this.settings.seeds.filter(seed => seed !== this.#self.peerAddress)) {
+			try {
+				for (const record of await this.#peerClient.members(seed)) {
+					this.#peers.learn(record);
+				}
+			} catch (error) {
+				const {code, message} = toFescuewickError(error, ResultCode.peerClosed);
+				logger.info({event: 'seed-failed', seed, code, reason: message}, 'a seed does not answer');
+			}
+		}
+
+		// Peers answer with heartbeats, whose revisions lead to their copies.
+		this.#gossip.send(true);
+		this.#cancels.push(this.deps.timers.after(seedDelayMs, () => {
+			void this.#askSeeds();
+		}));
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/peers/peer-table.ts
@@ -0,0 +1,105 @@
+import {type Logger, type TimerService} from '@fescuewick/core';
+import {type VmRecord} from '../model/records.js';
+import {type Demands, type Heartbeat} from './heartbeat.js';
+
+/** A VM that was silent for longer is not named to callers, in milliseconds; two heartbeats of the slower interval and a half. */
+const aliveMs = 2500;
+/**
+A silent VM keeps its part of shared limits for this time, in milliseconds, because it may be cut off and still serving.
+Cuts of the platform's network so far end within 10 s; the time is three times that.
+*/
+const reservedMs = 30_000;
+
+type Peer = {
+	record: VmRecord;
+	heartbeat: Heartbeat | undefined;
+	heardAtMs: number;
+	isAlive: boolean;
+};
+
+/** The other VMs as this VM knows them. */
+export class PeerTable {
+	readonly #peers = new Map<string, Peer>();
+
+	constructor(private readonly options: {readonly self: VmRecord; readonly timers: TimerService; readonly logger: Logger}) {}
+
+	get self(): VmRecord {
+		return this.options.self;
+	}
+
+	/** Learns of a VM from the store or a peer's list; what its heartbeats say takes precedence. */
+	learn(record: VmRecord): void {
+		const known = this.#peers.get(record.vm);
+		if (record.vm === this.self.vm || known?.heartbeat !== undefined) {
+			return;
+		}
+
+		// Silent ones count from now, so that their part of shared limits is reserved at first.
+		this.#peers.set(record.vm, {
+			record, heartbeat: undefined, heardAtMs: this.options.timers.nowMs(), isAlive: false,
+		});
+	}
+
+	/** Takes in a heartbeat; returns false if it is older than one already heard. */
+	hear(heartbeat: Heartbeat): boolean {
+		const {record} = heartbeat;
+		if (record.vm === this.self.vm) {
+			return false;
+		}
+
+		const known = this.#peers.get(record.vm);
+		const last = known?.heartbeat;
+		if (last?.incarnation === heartbeat.incarnation && heartbeat.sequence <= last.sequence) {
+			return false;
+		}
+
+		if (known?.isAlive !== true) {
+			this.options.logger.info({event: 'peer-regained', vm: record.vm, incarnation: heartbeat.incarnation}, 'peer is alive');
+		}
+
+		this.#peers.set(record.vm, {
+			record, heartbeat, heardAtMs: this.options.timers.nowMs(), isAlive: true,
+		});
+		return true;
+	}
+
+	/** Marks silent peers; to be called regularly. */
+	expire(): void {
+		const nowMs = this.options.timers.nowMs();
+		for (const [vm, peer] of this.#peers) {
+			if (peer.isAlive && nowMs - peer.heardAtMs > aliveMs) {
+				peer.isAlive = false;
+				this.options.logger.warn({event: 'peer-lost', vm, silentMs: Math.round(nowMs - peer.heardAtMs)}, 'peer is silent');
+			}
+		}
+	}
+
+	/** All known VMs except this one. */
+	* records(): Generator<VmRecord> {
+		for (const {record} of this.#peers.values()) {
+			yield record;
+		}
+	}
+
+	/** The last heartbeats of live peers. */
+	* alive(): Generator<Heartbeat> {
+		for (const {isAlive, heartbeat} of this.#peers.values()) {
+			if (isAlive && heartbeat !== undefined) {
+				yield heartbeat;
+			}
+		}
+	}
+
+	/** VMs that hold a part of shared limits: this one, live peers, and peers that may be cut off and still serving. */
+	* sharing(): Generator<{readonly record: VmRecord; readonly demands: Demands}> {
+		yield {record: this.self, demands: {}};
+		const nowMs = this.options.timers.nowMs();
+		// Without any live peer, this VM itself is likely to be the one that is cut off.
+		const isCutOff = [...this.alive()].length === 0;
+		for (const {record, heartbeat, heardAtMs} of this.#peers.values()) {
+			if (isCutOff || nowMs - heardAtMs <= reservedMs) {
+				yield {record, demands: heartbeat?.demands ?? {}};
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/placement/placer.ts
@@ -0,0 +1,279 @@
+import {rendezvousOrder, type Logger, type TimerService} from '@fescuewick/core';
+import {ConnectionSet} from '@fescuewick/entry/http';
+import {coldAllowancePerS} from '../limits/cold-allowance.js';
+import {type Route, type Workspace} from '../model/configuration.js';
+import {type FleetState} from '../state/fleet-state.js';
+import {Backend, HealthEvent} from './backend.js';
+import {chooseBackend, type Candidate, type ChoiceReason} from './choose-backend.js';
+import {RegionSpill} from './region-spill.js';
+
+/** Longest time to open a connection to a backend server, in milliseconds; several round trips between regions. */
+const connectMs = 500;
+/** Remembered orders of objects; the oldest half is dropped beyond this count. */
+const maxOrders = 4096;
+/** Part of the stated limit of moves between regions that is used; the rest covers windows that do not match the count. */
+const spillPart = 0.8;
+
+/** Settings of placing. */
+export type PlacementBounds = {
+	/** Largest part of a region's requests that may change the region between two windows. */
+	readonly shiftMost: number;
+	/** Factor and count by which the stated tolerance of cold servers may be exceeded. */
+	readonly coldOvershoot: number;
+	readonly coldSlack: number;
+};
+
+/** What decides where a request may run. */
+export type PlacementRequest = {
+	readonly service: string;
+	/** Object that the request concerns; undefined to spread evenly. */
+	readonly affinityKey: string | undefined;
+	readonly homeRegions: readonly string[] | undefined;
+	/** Servers that were tried already. */
+	readonly excluded: ReadonlySet<string>;
+};
+
+/** Where a request is to run. */
+export type Placement = {readonly backend: Backend; readonly reason: ChoiceReason; readonly load: number; readonly isRemote: boolean};
+
+/** Why no server was chosen. */
+export enum NoPlacement {
+	/** All servers that may run the request are full. */
+	full = 'full',
+	/** No server may run the request. */
+	none = 'none',
+}
+
+type PlacerOptions = {
+	readonly state: FleetState;
+	readonly timers: TimerService;
+	readonly logger: Logger;
+	readonly region: string;
+	readonly regionOf: (failureDomain: string) => string | undefined;
+	readonly bounds: () => PlacementBounds;
+	/** VMs of this region that may send to its cold servers, this one included. */
+	readonly sharersInRegion: () => number;
+	/** Called when a server may have room again. */
+	readonly onRoom: () => void;
+};
+
+type Slot = Candidate & {readonly backend: Backend};
+
+/** Regions that may serve a request of a route and workspace; undefined for all. */
+export function homesOf(route: Route, workspace: Workspace | undefined): readonly string[] | undefined {
+	const routeHomes = route.homeRegions;
+	const workspaceHomes = workspace?.homeRegions ?? [];
+	if (routeHomes.length === 0) {
+		return workspaceHomes.length === 0 ? undefined : workspaceHomes;
+	}
+
+	return workspaceHomes.length === 0 ? routeHomes : routeHomes.filter(region => workspaceHomes.includes(region));
+}
+
+/** Holds the backend servers and chooses among them. */
+export class Placer {
+	readonly #backends = new Map<string, Backend>();
+	readonly #byService = new Map<string, Backend[]>();
+	readonly #orders = new Map<string, string[]>();
+	readonly #spills = new Map<string, RegionSpill>();
+
+	constructor(private readonly options: PlacerOptions) {
+		options.state.events.on('backends', () => {
+			this.#update();
+		});
+		options.state.events.on('evacuation', ({failureDomain, isEvacuated}) => {
+			if (!isEvacuated) {
+				this.#returned(failureDomain);
+			}
+		});
+	}
+
+	get backends(): Iterable<Backend> {
+		return this.#backends.values();
+	}
+
+	/** Slots of usable servers of a service in this region. */
+	slotsInRegion(service: string): number {
+		return this.#usable(service).reduce((sum, backend) => sum + (backend.region === this.options.region ? backend.slots : 0), 0);
+	}
+
+	/** Counts a request of this region for the part that may leave it. */
+	arrived(service: string): void {
+		this.#spillOf(service).arrived();
+	}
+
+	/** Chooses the server for a request; the caller sends it at once. */
+	place(request: PlacementRequest): Placement | NoPlacement {
+		const {region} = this.options;
+		const allowed = this.#usable(request.service).filter(backend => !request.excluded.has(backend.id) && request.homeRegions?.includes(backend.region) !== false);
+		if (allowed.length === 0) {
+			return NoPlacement.none;
+		}
+
+		const near = allowed.filter(backend => backend.region === region);
+		const choice = this.#choose(near, request);
+		if (choice !== undefined) {
+			return {...choice, isRemote: false};
+		}
+
+		const spill = this.#spillOf(request.service);
+		// Without any server in the region there is nothing to shift from: all requests have to leave it.
+		const mayLeave = near.length === 0 || spill.hasCredit;
+		const remote = mayLeave ? this.#choose(allowed.filter(backend => backend.region !== region), request) : undefined;
+		if (remote === undefined) {
+			return NoPlacement.full;
+		}
+
+		if (near.length > 0) {
+			spill.left();
+		}
+
+		return {...remote, isRemote: true};
+	}
+
+	#choose(backends: readonly Backend[], {service, affinityKey}: PlacementRequest): Omit<Placement, 'isRemote'> | undefined {
+		const nowMs = this.options.timers.nowMs();
+		const slots = backends.map(backend => this.#slotOf(backend, nowMs));
+		if (affinityKey !== undefined) {
+			const order = this.#orderOf(service, affinityKey);
+			slots.sort((a, b) => order.indexOf(a.id) - order.indexOf(b.id));
+		}
+
+		const choice = chooseBackend(slots, affinityKey !== undefined);
+		return choice && {backend: choice.server.backend, reason: choice.reason, load: choice.server.load};
+	}
+
+	#slotOf(backend: Backend, nowMs: number): Slot {
+		return {
+			id: backend.id,
+			backend,
+			load: backend.load(nowMs),
+			slots: backend.slots,
+			isAvoided: backend.isAvoided(nowMs),
+			hasAllowance: backend.connections.canAcquire() && (!backend.isCold(nowMs) || this.#hasColdAllowance(backend, nowMs)),
+		};
+	}
+
+	#hasColdAllowance(backend: Backend, nowMs: number): boolean {
+		const {region, bounds, sharersInRegion, state} = this.options;
+		const coldRatePerS = state.configuration?.services.get(backend.record.service)?.coldRatePerS ?? 0;
+		if (coldRatePerS === 0) {
+			return true;
+		}
+
+		// Only VMs of its region send to a cold server, so that they can divide what it tolerates among themselves.
+		if (backend.region !== region) {
+			return false;
+		}
+
+		const {coldOvershoot, coldSlack} = bounds();
+		const allowance = coldAllowancePerS({
+			coldRatePerS, overshoot: coldOvershoot, slack: coldSlack, sharers: sharersInRegion(),
+		});
+		return backend.coldSent.count(nowMs) < allowance;
+	}
+
+	#usable(service: string): Backend[] {
+		return (this.#byService.get(service) ?? []).filter(backend => backend.isUsable && !this.options.state.isEvacuated(backend.record.failureDomain));
+	}
+
+	#orderOf(service: string, affinityKey: string): string[] {
+		const key = `${service}\u0000${affinityKey}`;
+		let order = this.#orders.get(key);
+		if (order === undefined) {
+			if (this.#orders.size >= maxOrders) {
+				for (const old of [...this.#orders.keys()].slice(0, maxOrders / 2)) {
+					this.#orders.delete(old);
+				}
+			}
+
+			order = rendezvousOrder(affinityKey, (this.#byService.get(service) ?? []).map(({id}) => id));
+			this.#orders.set(key, order);
+		}
+
+		return order;
+	}
+
+	#spillOf(service: string): RegionSpill {
+		let spill = this.#spills.get(service);
+		if (spill === undefined) {
+			spill = new RegionSpill(this.options.bounds().shiftMost * spillPart);
+			this.#spills.set(service, spill);
+		}
+
+		return spill;
+	}
+
+	/** The cold time after an evacuation starts with its end; entries of the servers may say so only later. */
+	#returned(failureDomain: string): void {
+		const {timers, state} = this.options;
+		for (const backend of this.#backends.values()) {
+			if (backend.record.failureDomain === failureDomain) {
+				backend.coldFor(state.configuration?.services.get(backend.record.service)?.coldStartMs ?? 0, timers.nowMs());
+			}
+		}
+
+		this.options.onRoom();
+	}
+
+	#update(): void {
+		const {state, regionOf, logger} = this.options;
+		for (const [id, backend] of this.#backends) {
+			const known = state.backends.get(id);
+			if (known === undefined || known.record.address !== backend.record.address || known.record.service !== backend.record.service) {
+				this.#backends.delete(id);
+				// Requests in progress keep their connections; the set closes those that come back.
+				backend.connections.close();
+			}
+		}
+
+		for (const [id, known] of state.backends) {
+			const backend = this.#backends.get(id);
+			const region = regionOf(known.record.failureDomain);
+			if (backend !== undefined) {
+				backend.update(known);
+			} else if (region === undefined) {
+				logger.warn({event: 'backend-ignored', server: id, failureDomain: known.record.failureDomain}, 'the failure domain of a backend server is not known');
+			} else {
+				this.#backends.set(id, new Backend(known, region, this.#connect(known.record.address, known.record.service)));
+			}
+		}
+
+		this.#byService.clear();
+		this.#orders.clear();
+		for (const backend of this.#backends.values()) {
+			const servers = this.#byService.get(backend.record.service) ?? [];
+			servers.push(backend);
+			this.#byService.set(backend.record.service, servers);
+		}
+
+		this.options.onRoom();
+	}
+
+	#connect(address: string, service: string): ConnectionSet {
+		const {timers, state, onRoom} = this.options;
+		return new ConnectionSet(`http://${address}`, {
+			timers,
+			connectMs,
+			// All VMs together may use what the server accepts; half leaves room for those that know each other too late.
+			limit: () => Math.max(4, Math.floor((state.configuration?.services.get(service)?.maxConnections ?? 64) / 8)),
+			onRoom,
+		});
+	}
+
+	/** Marks a server as unreachable after a failed connection or probe. */
+	unreachable(backend: Backend, reason: string): void {
+		if (backend.send(HealthEvent.unreachable)) {
+			this.options.logger.warn({event: 'backend-down', server: backend.id, reason}, 'backend server is unreachable');
+			backend.connections.close();
+		}
+	}
+
+	/** Another server has its address. */
+	misdirected(backend: Backend): void {
+		if (backend.send(HealthEvent.misdirected)) {
+			this.options.logger.warn({event: 'backend-replaced', server: backend.id, address: backend.record.address}, 'another server has the address');
+			backend.connections.close();
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/server/front-server.ts
@@ -0,0 +1,75 @@
+import {createServer, type Server} from 'node:http';
+import {Server as NetServer} from 'node:net';
+import {type Cancel, type Logger, type TimerService} from '@fescuewick/core';
+import {type CallerLimits} from '../model/configuration.js';
+import {type RequestHandler} from './request-handler.js';
+
+/** Limits before a configuration is known; those of the deployments so far. */
+const initialLimits: Pick<CallerLimits, 'maxHeaderBytes' | 'headerTimeoutMs' | 'idleTimeoutMs'> = {maxHeaderBytes: 65_536, headerTimeoutMs: 10_000, idleTimeoutMs: 15_000};
+/** Connections stay open this much longer than callers may reuse them, in milliseconds. */
+const idleMarginMs = 1000;
+/** How often Node.js looks for requests whose headers arrive too slowly, in milliseconds. */
+const slowCheckMs = 1000;
+/** From SIGTERM until new connections and requests are refused, in milliseconds; callers have left by then if they renew their directory answer in time. */
+const acceptMs = 2500;
+/** Part of the grace time after which requests still in progress are given up. */
+const gracePart = 0.95;
+/** How often a stopping server looks whether it may end, in milliseconds. */
+const idleCheckMs = 50;
+
+/** Creates the server that callers connect to. */
+export function createFrontServer(handler: RequestHandler, logger: Logger): Server {
+	const server = createServer({
+		maxHeaderSize: initialLimits.maxHeaderBytes,
+		headersTimeout: initialLimits.headerTimeoutMs,
+		requestTimeout: 0,
+		connectionsCheckingInterval: slowCheckMs,
+		keepAliveTimeout: initialLimits.idleTimeoutMs + idleMarginMs,
+		noDelay: true,
+	}, (request, response) => {
+		void handler.handle(request, response);
+	});
+	server.on('clientError', (error: Error & {code?: string}, socket) => {
+		if (error.code === 'ECONNRESET' || !socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		logger.info({event: 'malformed-request', reason: error.code ?? error.message}, 'a request is not valid HTTP');
+		socket.end(`HTTP/1.1 ${error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+	});
+	return server;
+}
+
+/** Applies the limits of a configuration to a running server. */
+export function applyLimits(server: Server, {headerTimeoutMs, idleTimeoutMs}: CallerLimits): void {
+	server.headersTimeout = headerTimeoutMs + idleMarginMs;
+	server.keepAliveTimeout = idleTimeoutMs + idleMarginMs;
+}
+
+/** Stops a front server within `graceMs`: serves for a while, then refuses new requests, ends when none is in progress. */
+export async function stopFrontServer(server: Server, handler: RequestHandler, {timers, graceMs}: {readonly timers: TimerService; readonly graceMs: number}): Promise<void> {
+	const startedAtMs = timers.nowMs();
+	await timers.sleep(Math.min(acceptMs, graceMs / 2));
+	handler.isRefusing = true;
+	// The HTTP server's own `close` would also cut connections whose request is on its way.
+	NetServer.prototype.close.call(server);
+	await new Promise<void>(resolve => {
+		let cancel: Cancel | undefined;
+		const check = () => {
+			const isOver = timers.nowMs() - startedAtMs >= graceMs * gracePart;
+			if (isOver) {
+				for (const run of handler.runs) {
+					run.abandon();
+				}
+			}
+
+			if (handler.runs.size === 0) {
+				cancel?.();
+				resolve();
+			}
+		};
+
+		cancel = timers.repeat(idleCheckMs, check);
+	});
+}
--- /dev/null
+++ b/packages/gateway/src/server/request-handler.ts
@@ -0,0 +1,138 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {ResultCode, resultCodeName, toFescuewickError} from '@fescuewick/core';
+import {hasBody, noBody, readBody} from '@fescuewick/entry/http';
+import {type ForwardingContext} from '../forward/forwarding-context.js';
+import {type RequestFields} from '../forward/header-dialect.js';
+import {RequestRun, sendError} from '../forward/request-run.js';
+import {type ConfigurationIndex, type Route, type Workspace} from '../model/configuration.js';
+import {WeightedTurns} from '../placement/weighted-turns.js';
+
+/** Bodies up to this size are held, so that a request can be sent again. */
+const maxReplayBytes = 262_144;
+/** Callers of a VM that has no configuration yet are told to come back after this time, in milliseconds; a start takes about a second. */
+const notReadyRetryMs = 300;
+/** Callers of a VM that stops are told to come back after this time, in milliseconds; another VM takes them at once. */
+const drainingRetryMs = 50;
+
+type Refusal = {readonly code: ResultCode; readonly retryMs?: number; readonly message?: string};
+type Admission = {readonly route: Route; readonly workspace: Workspace | undefined};
+
+/** Checks callers' requests and starts those that may run. */
+export class RequestHandler {
+	readonly runs = new Set<RequestRun>();
+	/** New requests are refused, because the process ends soon. */
+	isRefusing = false;
+	#turns = new WeakMap<Route, WeightedTurns>();
+	#sequence = 0;
+
+	constructor(private readonly context: ForwardingContext, private readonly configuration: () => ConfigurationIndex | undefined) {}
+
+	/** Handles one request. */
+	async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const {timers, dialect} = this.context;
+		const arrivedAtMs = timers.nowMs();
+		const fields = dialect.readRequest(request.headers);
+		const admission = this.#admit(request, fields);
+		if ('code' in admission) {
+			this.#refuse(request, response, fields, admission);
+			return;
+		}
+
+		const {route, workspace} = admission;
+		const {limits} = this.configuration()!.configuration;
+		const timeoutMs = Math.min(route.timeoutMs, fields.timeLeftMs ?? Number.POSITIVE_INFINITY);
+		try {
+			const body = hasBody(request) ? await readBody(request, {maxBodyBytes: limits.maxBodyBytes, maxReplayBytes, bodyTimeMs: timeoutMs}, timers) : noBody;
+			const id = fields.id ?? this.#newId();
+			const run = new RequestRun(this.context, {
+				request, response, fields, id, route, workspace, service: this.#serviceOf(route), body, arrivedAtMs, deadlineAtMs: arrivedAtMs + timeoutMs,
+			});
+			this.runs.add(run);
+			run.start();
+		} catch (error) {
+			const {code, message} = toFescuewickError(error);
+			if (workspace !== undefined) {
+				this.context.limiter.giveBack(workspace.name);
+			}
+
+			this.#refuse(request, response, fields, {code, message});
+		}
+	}
+
+	/** To be called when a request has its answer. */
+	finished(run: RequestRun): void {
+		this.runs.delete(run);
+	}
+
+	#admit(request: IncomingMessage, fields: RequestFields): Admission | Refusal {
+		const configuration = this.configuration();
+		if (configuration === undefined) {
+			return {code: ResultCode.notReady, retryMs: notReadyRetryMs};
+		}
+
+		if (this.isRefusing) {
+			return {code: ResultCode.draining, retryMs: drainingRetryMs};
+		}
+
+		const host = request.headers.host?.replace(/:\d+$/, '').toLowerCase();
+		if (host === undefined || !request.url!.startsWith('/')) {
+			return {code: ResultCode.malformedRequest, message: 'the request needs a host and a path'};
+		}
+
+		const route = configuration.findRoute(host, request.url!);
+		if (route === undefined) {
+			return {code: ResultCode.noRoute};
+		}
+
+		let workspace: Workspace | undefined;
+		if (!route.isOpen && configuration.hasWorkspaces) {
+			if (fields.key === undefined) {
+				return {code: ResultCode.keyMissing};
+			}
+
+			workspace = configuration.workspaceOfKey(fields.key);
+			if (workspace === undefined) {
+				return {code: ResultCode.keyUnknown};
+			}
+
+			const retryMs = this.context.limiter.take(workspace.name);
+			if (retryMs > 0) {
+				return {code: ResultCode.rateExceeded, retryMs};
+			}
+		}
+
+		return {route, workspace};
+	}
+
+	#refuse(request: IncomingMessage, response: ServerResponse, fields: RequestFields, refusal: Refusal): void {
+		const {code, retryMs, message} = refusal;
+		if (!response.headersSent && !response.destroyed) {
+			sendError({
+				response, code, id: fields.id, idHeader: this.context.dialect.requestIdHeader, retryMs, message, isClosing: this.context.isDraining() || !request.complete,
+			});
+		}
+
+		this.context.finished(undefined, {
+			id: fields.id, code, outcome: resultCodeName(code), status: response.statusCode, durationMs: 0, attempts: 0, path: code === ResultCode.noRoute ? request.url : undefined, configuration: this.context.configurationVersion(),
+		});
+	}
+
+	#serviceOf(route: Route): string {
+		if (route.parts.length === 1) {
+			return route.parts[0].service;
+		}
+
+		let turns = this.#turns.get(route);
+		if (turns === undefined) {
+			turns = new WeightedTurns(route.parts);
+			this.#turns.set(route, turns);
+		}
+
+		return turns.next();
+	}
+
+	#newId(): string {
+		this.#sequence++;
+		return `${Math.floor(this.context.random() * (2 ** 48)).toString(16)}-${this.#sequence}`;
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/server/side-servers.ts
@@ -0,0 +1,117 @@
+import {type Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {encode} from 'cbor-x';
+import restana from 'restana';
+import {type Metrics} from '@fescuewick/core';
+import {Collection} from '@fescuewick/store';
+import {splitAddress} from '@fescuewick/wire';
+import {type VmRecord} from '../model/records.js';
+import {type Replica} from '../state/replica.js';
+
+/** Idle connections of peers and callers of the directory are closed after this time, in milliseconds. */
+const keepAliveMs = 5000;
+
+/** Paths and answers of the directory and readiness calls, which differ between platforms. */
+export abstract class SideInterface {
+	abstract readonly readinessPath: string;
+	abstract readonly directoryPath: string;
+	/** Reads who asks the directory. */
+	abstract readCaller(query: URLSearchParams): {readonly failureDomain: string; readonly region: string};
+	/** Body of the directory's answer; `ttlMs` is how long it may be used. */
+	abstract directoryBody(addresses: readonly string[], ttlMs: number): unknown;
+}
+
+/** What the side servers answer from. */
+export type SideServerOptions = {
+	readonly sides: SideInterface;
+	readonly isReady: () => boolean;
+	readonly addressesFor: (caller: {readonly failureDomain: string; readonly region: string}) => string[];
+	readonly directoryTtlMs: number;
+	readonly replicas: Readonly<Record<Collection, Replica>>;
+	readonly members: () => VmRecord[];
+	readonly metrics: Metrics;
+};
+
+type Handler = (request: IncomingMessage, response: ServerResponse) => void;
+
+function createSideServer(routes: Readonly<Record<string, Handler>>): Server {
+	const server = createServer({keepAliveTimeout: keepAliveMs});
+	const service = restana({
+		server, prioRequestsProcessing: false, defaultRoute(_request, response) {
+			response.statusCode = 404;
+			response.end();
+		},
+	});
+	for (const [path, handler] of Object.entries(routes)) {
+		service.get(path, (request, response) => {
+			handler(request, response);
+		});
+	}
+
+	return server;
+}
+
+function sendJson(response: ServerResponse, status: number, body: unknown): void {
+	response.writeHead(status, {'content-type': 'application/json'}).end(JSON.stringify(body));
+}
+
+function sendCbor(response: ServerResponse, body: unknown): void {
+	const content: Buffer = encode(body);
+	response.writeHead(200, {'content-type': 'application/cbor', 'content-length': String(content.length)}).end(content);
+}
+
+/** Answers whether callers may be sent to this VM. */
+export function createReadinessServer({sides, isReady}: SideServerOptions): Server {
+	return createSideServer({
+		[sides.readinessPath](_request, response) {
+			const ready = isReady();
+			sendJson(response, ready ? 200 : 503, {ready});
+		},
+	});
+}
+
+/** Answers which entry VMs a caller should use. */
+export function createDirectoryServer({sides, addressesFor, directoryTtlMs}: SideServerOptions): Server {
+	return createSideServer({
+		[sides.directoryPath](request, response) {
+			const {searchParams} = new URL(request.url ?? '', 'http://directory');
+			const addresses = addressesFor(sides.readCaller(searchParams));
+			sendJson(response, addresses.length > 0 ? 200 : 503, sides.directoryBody(addresses, directoryTtlMs));
+		},
+	});
+}
+
+/** Gives peers this VM's copies and the VMs it knows. */
+export function createPeerServer({replicas, members}: SideServerOptions): Server {
+	const collections = Object.values(Collection).map((collection): [string, Handler] => [`/v1/collections/${collection}`, (_request, response) => {
+		if (replicas[collection].isLoaded) {
+			sendCbor(response, replicas[collection].image());
+		} else {
+			response.writeHead(503).end();
+		}
+	}]);
+	return createSideServer({
+		...Object.fromEntries(collections),
+		'/v1/members'(_request, response) {
+			sendCbor(response, members());
+		},
+	});
+}
+
+/** Serves metrics in the Prometheus text format. */
+export function createMetricsServer({metrics}: SideServerOptions): Server {
+	return createSideServer({
+		async '/metrics'(_request, response) {
+			const text = await metrics.text();
+			response.writeHead(200, {'content-type': metrics.registry.contentType}).end(text);
+		},
+	});
+}
+
+/** Lets a server listen at `ip:port`. */
+export async function listenAt(server: Server, address: string): Promise<void> {
+	const {host, port} = splitAddress(address);
+	server.listen(port, host);
+	await once(server, 'listening');
+}
--- /dev/null
+++ b/packages/gateway/src/state/store-gate.ts
@@ -0,0 +1,85 @@
+import {type Logger, type TimerService} from '@fescuewick/core';
+
+/** Pause after the first failed call, in milliseconds; short enough to resume well within the time bounds of a configuration. */
+const firstPauseMs = 200;
+/** Longest pause, in milliseconds; with one trial call a VM it keeps an outage cheap and its end noticed within about a second. */
+const longestPauseMs = 1200;
+
+/**
+Whether the store answers this VM, shared by all loops that call it.
+
+While it does not, one loop at a time makes a trial call and the others wait for its outcome, so that an outage costs one call a pause.
+*/
+export class StoreGate {
+	#failures = 0;
+	#nextTrialAtMs = 0;
+	#trial: Promise<void> | undefined;
+	#endTrial: (() => void) | undefined;
+	#failingSinceMs: number | undefined;
+	#recoveredAtMs = Number.NEGATIVE_INFINITY;
+
+	constructor(private readonly options: {readonly timers: TimerService; readonly logger: Logger; readonly random: () => number}) {}
+
+	get isFailing(): boolean {
+		return this.#failures > 0;
+	}
+
+	/** Time of the last return after a failure, or minus infinity. */
+	get recoveredAtMs(): number {
+		return this.#recoveredAtMs;
+	}
+
+	/** Resolves when the caller may make its call; it must report `succeeded` or `failed` afterwards. */
+	async turn(): Promise<void> {
+		const {timers} = this.options;
+		while (this.#failures > 0) {
+			if (this.#trial !== undefined) {
+				await this.#trial;
+				continue;
+			}
+
+			this.#trial = new Promise(resolve => {
+				this.#endTrial = resolve;
+			});
+			const waitMs = this.#nextTrialAtMs - timers.nowMs();
+			if (waitMs > 0) {
+				await timers.sleep(waitMs);
+			}
+
+			return;
+		}
+	}
+
+	/** The store answered. */
+	succeeded(): void {
+		if (this.#failures > 0) {
+			const {timers, logger} = this.options;
+			this.#recoveredAtMs = timers.nowMs();
+			logger.info({event: 'store-regained', failures: this.#failures, outageMs: Math.round(this.#recoveredAtMs - (this.#failingSinceMs ?? this.#recoveredAtMs))}, 'the store answers again');
+			this.#failures = 0;
+			this.#failingSinceMs = undefined;
+		}
+
+		this.#releaseTrial();
+	}
+
+	/** The store did not answer, or refused the call. */
+	failed(reason: string): void {
+		const {timers, logger, random} = this.options;
+		if (this.#failures === 0) {
+			this.#failingSinceMs = timers.nowMs();
+			logger.warn({event: 'store-lost', reason}, 'the store does not answer');
+		}
+
+		const pauseMs = Math.min(longestPauseMs, firstPauseMs * (2 ** this.#failures));
+		this.#failures++;
+		this.#nextTrialAtMs = timers.nowMs() + (pauseMs * (0.75 + (random() / 2)));
+		this.#releaseTrial();
+	}
+
+	#releaseTrial(): void {
+		this.#trial = undefined;
+		this.#endTrial?.();
+		this.#endTrial = undefined;
+	}
+}
--- /dev/null
+++ b/packages/store/src/collection-store.ts
@@ -0,0 +1,40 @@
+/** Groups of records that VMs keep a copy of. */
+export enum Collection {
+	configurations = 'configurations',
+	backends = 'backends',
+	evacuations = 'evacuations',
+	vms = 'vms',
+}
+
+/** A record as read from the store; `value` is undefined if it could not be decoded. */
+export type CollectionRecord = {
+	readonly name: string;
+	/** Store revision of its last change. */
+	readonly revision: number;
+	readonly value: unknown;
+};
+
+/** All records of a collection as of a store revision. */
+export type Listing = {readonly records: readonly CollectionRecord[]; readonly revision: number};
+
+/** One change of a record. */
+export type RecordChange = {readonly record: CollectionRecord; readonly isRemoved: boolean};
+
+/** Changes after a revision, in order, up to `revision`. */
+export type ChangeBatch = {readonly changes: readonly RecordChange[]; readonly revision: number};
+
+/**
+A store with one revision counter for all records and watches over whole collections.
+
+Errors: `storeUnavailable` (nothing was done), `storeTimeout`, `storeOutcomeUnknown` (a write may have taken effect), `storeConflict`, `storeHistoryGone` (list again), `storeMalformed`.
+*/
+export abstract class CollectionStore {
+	/** Reads all records of a collection. */
+	abstract list(collection: Collection): Promise<Listing>;
+	/** Resolves with the changes after `afterRevision`, or after `waitMs` without any. */
+	abstract watch(collection: Collection, afterRevision: number, waitMs: number, signal: AbortSignal): Promise<ChangeBatch>;
+	/** Creates a record, or replaces it if it exists. */
+	abstract put(collection: Collection, name: string, value: unknown): Promise<void>;
+	/** Removes a record if its last change is `revision`. */
+	abstract remove(collection: Collection, name: string, revision: number): Promise<void>;
+}
--- /dev/null
+++ b/scripts/bundle.js
@@ -0,0 +1,26 @@
+// Bundles the gateway for the platform into one file, so that a VM starts fast and with little memory.
+import process from 'node:process';
+import {build} from 'esbuild';
+
+const result = await build({
+	entryPoints: ['platform/src/main.ts'],
+	outfile: 'target/fescuewick-gateway.js',
+	bundle: true,
+	platform: 'node',
+	format: 'esm',
+	target: 'node20',
+	// Packages resolve to their sources, so that no compiler run is needed before.
+	conditions: ['source'],
+	// Bundled CommonJS packages load the modules of Node.js by `require`.
+	banner: {js: 'import {createRequire as createRequireOfBundle} from \'node:module\';\nconst require = createRequireOfBundle(import.meta.url);'},
+	logLevel: 'warning',
+	minifyWhitespace: true,
+	minifySyntax: true,
+	metafile: process.argv.includes('--sizes'),
+});
+if (result.metafile) {
+	const [{inputs}] = Object.values(result.metafile.outputs);
+	for (const [file, {bytesInOutput}] of Object.entries(inputs).sort((a, b) => b[1].bytesInOutput - a[1].bytesInOutput).slice(0, 40)) {
+		process.stdout.write(`${bytesInOutput} ${file}\n`);
+	}
+}
