--- a/packages/gateway/src/admission/waiting-line.ts
+++ b/packages/gateway/src/admission/waiting-line.ts
@@ -42,8 +42,8 @@
 		return index !== -1;
 	}
 
-	/** The waiting requests in the order in which they are to be served; the line may change meanwhile. */
-	* inOrder(): Generator<Item> {
-		yield * [...this.#items];
+	/** The waiting requests in the order in which they are to be served, as a copy: the line may change while it is gone through. */
+	inOrder(): readonly Item[] {
+		return [...this.#items];
 	}
 }
--- a/packages/gateway/src/forward/request-run.ts
+++ b/packages/gateway/src/forward/request-run.ts
@@ -212,7 +212,8 @@
 			method: request.method!,
 			path: request.url!,
 			headers: [
-				'host', request.headers.host!,
+				'host',
+				request.headers.host!,
 				...keptPairs(headers, name => dialect.isReserved(name)),
 				...dialect.forwarded({timeLeftMs: Math.max(1, Math.floor(this.#timeLeftMs)), workspace: workspace?.name, server: backend.id}),
 			],
@@ -265,7 +266,7 @@
 		const {response} = this.admitted;
 		const {status, headers} = sending.attempt.head!;
 		response.writeHead(status, this.#answerHeaders(headers));
-		const chunks = sending.chunks;
+		const {chunks} = sending;
 		sending.chunks = [];
 		return this.#write(sending, Buffer.concat(chunks));
 	}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,9 @@
 } from '@fescuewick/core';
 import {Collection, type CollectionStore} from '@fescuewick/store';
 import {entryAddressesFor} from './directory/entry-directory.js';
-import {RetryBudgets, WaitingLines, type ForwardingContext, type RequestSummary} from './forward/forwarding-context.js';
+import {
+	RetryBudgets, WaitingLines, type ForwardingContext, type RequestSummary,
+} from './forward/forwarding-context.js';
 import {type HeaderDialect} from './forward/header-dialect.js';
 import {RouteLatency} from './forward/route-latency.js';
 import {divisionIntervalMs, WorkspaceLimiter, type SharingPeers} from './limits/workspace-limiter.js';
@@ -344,7 +346,9 @@
 				}
 			} catch (error) {
 				const {code, message} = toFescuewickError(error, ResultCode.peerClosed);
-				logger.info({event: 'seed-failed', seed, code, reason: message}, 'a seed does not answer');
+				logger.info({
+					event: 'seed-failed', seed, code, reason: message,
+				}, 'a seed does not answer');
 			}
 		}
 
--- a/packages/gateway/src/limits/workspace-limiter.ts
+++ b/packages/gateway/src/limits/workspace-limiter.ts
@@ -111,7 +111,11 @@
 		this.#accrue(bucket);
 		const {ratePerS, burst, demand} = bucket;
 		const othersPerS = this.#peers.demands.reduce((sum, demands) => sum + (demands[name] ?? 0), 0);
-		bucket.partPerS = ratePerS === 0 ? 0 : divideRate({ratePerS, ownPerS: demand.ratePerS, othersPerS, members: this.#peers.members});
+		bucket.partPerS = ratePerS === 0
+			? 0
+			: divideRate({
+				ratePerS, ownPerS: demand.ratePerS, othersPerS, members: this.#peers.members,
+			});
 		bucket.capacity = ratePerS === 0 ? 0 : Math.max(1, burst * burstPart * bucket.partPerS / ratePerS);
 		bucket.tokens = Math.min(bucket.capacity, bucket.tokens);
 	}
--- a/packages/gateway/src/peers/catch-up.ts
+++ b/packages/gateway/src/peers/catch-up.ts
@@ -54,7 +54,9 @@
 				onAdopted(collection);
 			}
 		} catch (error) {
-			logger.warn({event: 'relay-failed', collection, from: peerAddress, reason: toFescuewickError(error).message}, 'could not read a copy from a peer');
+			logger.warn({
+				event: 'relay-failed', collection, from: peerAddress, reason: toFescuewickError(error).message,
+			}, 'could not read a copy from a peer');
 		} finally {
 			this.#running.delete(collection);
 		}
--- a/packages/gateway/src/peers/heartbeat.ts
+++ b/packages/gateway/src/peers/heartbeat.ts
@@ -28,7 +28,11 @@
 export function encodeHeartbeat({record, incarnation, sequence, isReady, revisions, demands}: Heartbeat): Buffer {
 	const positions = relayed.flatMap(collection => [revisions[collection].valid, revisions[collection].changed]);
 	return encode([
-		formatVersion, incarnation, sequence, isReady, positions,
+		formatVersion,
+		incarnation,
+		sequence,
+		isReady,
+		positions,
 		[record.vm, record.failureDomain, record.region, record.entryAddress, record.peerAddress, record.heartbeatAddress],
 		Object.entries(demands).flatMap(([workspace, ratePerS]) => [workspace, Math.ceil(ratePerS)]),
 	]);
--- a/packages/gateway/src/placement/backend.ts
+++ b/packages/gateway/src/placement/backend.ts
@@ -50,7 +50,7 @@
 	/** Requests sent while it was cold, in the last second. */
 	readonly coldSent = new SecondWindow();
 	#known: KnownBackend;
-	#health: string = HealthState.healthy;
+	#health = HealthState.healthy;
 	#coldUntilMs = 0;
 	#others = 0;
 	#othersAtMs = 0;
@@ -73,7 +73,7 @@
 		return this.#known.record;
 	}
 
-	get health(): string {
+	get health(): HealthState {
 		return this.#health;
 	}
 
@@ -110,7 +110,7 @@
 
 	/** Sends an event to the health chart; returns whether the state changed. */
 	send(event: HealthEvent): boolean {
-		const next = nextState(healthChart, this.#health, event);
+		const next = nextState(healthChart, this.#health, event) as HealthState | undefined;
 		if (next === undefined || next === this.#health) {
 			return false;
 		}
--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -220,7 +220,7 @@
 		const {state, regionOf, logger} = this.options;
 		for (const [id, backend] of this.#backends) {
 			const known = state.backends.get(id);
-			if (known === undefined || known.record.address !== backend.record.address || known.record.service !== backend.record.service) {
+			if (known?.record.address !== backend.record.address || known.record.service !== backend.record.service) {
 				this.#backends.delete(id);
 				// Requests in progress keep their connections; the set closes those that come back.
 				backend.connections.close();
--- a/packages/gateway/src/server/front-server.ts
+++ b/packages/gateway/src/server/front-server.ts
@@ -1,6 +1,6 @@
 import {createServer, type Server} from 'node:http';
 import {Server as NetServer} from 'node:net';
-import {type Cancel, type Logger, type TimerService} from '@fescuewick/core';
+import {type Logger, type TimerService} from '@fescuewick/core';
 import {type CallerLimits} from '../model/configuration.js';
 import {type RequestHandler} from './request-handler.js';
 
@@ -54,22 +54,14 @@
 	handler.isRefusing = true;
 	// The HTTP server's own `close` would also cut connections whose request is on its way.
 	NetServer.prototype.close.call(server);
-	await new Promise<void>(resolve => {
-		let cancel: Cancel | undefined;
-		const check = () => {
-			const isOver = timers.nowMs() - startedAtMs >= graceMs * gracePart;
-			if (isOver) {
-				for (const run of handler.runs) {
-					run.abandon();
-				}
-			}
+	while (handler.runs.size > 0 && timers.nowMs() - startedAtMs < graceMs * gracePart) {
+		await timers.sleep(idleCheckMs);
+	}
 
-			if (handler.runs.size === 0) {
-				cancel?.();
-				resolve();
-			}
-		};
+	for (const run of handler.runs) {
+		run.abandon();
+	}
 
-		cancel = timers.repeat(idleCheckMs, check);
-	});
+	// Answers that were just written need a moment to leave.
+	await timers.sleep(idleCheckMs);
 }
--- a/packages/gateway/src/server/request-handler.ts
+++ b/packages/gateway/src/server/request-handler.ts
@@ -22,7 +22,7 @@
 	readonly runs = new Set<RequestRun>();
 	/** New requests are refused, because the process ends soon. */
 	isRefusing = false;
-	#turns = new WeakMap<Route, WeightedTurns>();
+	readonly #turns = new WeakMap<Route, WeightedTurns>();
 	#sequence = 0;
 
 	constructor(private readonly context: ForwardingContext, private readonly configuration: () => ConfigurationIndex | undefined) {}
--- a/packages/gateway/src/server/side-servers.ts
+++ b/packages/gateway/src/server/side-servers.ts
@@ -1,6 +1,8 @@
 import {type Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {encode} from 'cbor-x';
 import restana from 'restana';
 import {type Metrics} from '@fescuewick/core';
@@ -14,8 +16,8 @@
 
 /** Paths and answers of the directory and readiness calls, which differ between platforms. */
 export abstract class SideInterface {
-	abstract readonly readinessPath: string;
-	abstract readonly directoryPath: string;
+	abstract get readinessPath(): string;
+	abstract get directoryPath(): string;
 	/** Reads who asks the directory. */
 	abstract readCaller(query: URLSearchParams): {readonly failureDomain: string; readonly region: string};
 	/** Body of the directory's answer; `ttlMs` is how long it may be used. */
@@ -33,9 +35,9 @@
 	readonly metrics: Metrics;
 };
 
-type Handler = (request: IncomingMessage, response: ServerResponse) => void;
+type Handler = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
 
-function createSideServer(routes: Readonly<Record<string, Handler>>): Server {
+function createSideServer(routes: ReadonlyArray<[path: string, handler: Handler]>): Server {
 	const server = createServer({keepAliveTimeout: keepAliveMs});
 	const service = restana({
 		server, prioRequestsProcessing: false, defaultRoute(_request, response) {
@@ -43,9 +45,9 @@
 			response.end();
 		},
 	});
-	for (const [path, handler] of Object.entries(routes)) {
+	for (const [path, handler] of routes) {
 		service.get(path, (request, response) => {
-			handler(request, response);
+			void handler(request, response);
 		});
 	}
 
@@ -63,23 +65,19 @@
 
 /** Answers whether callers may be sent to this VM. */
 export function createReadinessServer({sides, isReady}: SideServerOptions): Server {
-	return createSideServer({
-		[sides.readinessPath](_request, response) {
-			const ready = isReady();
-			sendJson(response, ready ? 200 : 503, {ready});
-		},
-	});
+	return createSideServer([[sides.readinessPath, (_request, response) => {
+		const ready = isReady();
+		sendJson(response, ready ? 200 : 503, {ready});
+	}]]);
 }
 
 /** Answers which entry VMs a caller should use. */
 export function createDirectoryServer({sides, addressesFor, directoryTtlMs}: SideServerOptions): Server {
-	return createSideServer({
-		[sides.directoryPath](request, response) {
-			const {searchParams} = new URL(request.url ?? '', 'http://directory');
-			const addresses = addressesFor(sides.readCaller(searchParams));
-			sendJson(response, addresses.length > 0 ? 200 : 503, sides.directoryBody(addresses, directoryTtlMs));
-		},
-	});
+	return createSideServer([[sides.directoryPath, (request, response) => {
+		const {searchParams} = new URL(request.url ?? '', 'http://directory');
+		const addresses = addressesFor(sides.readCaller(searchParams));
+		sendJson(response, addresses.length > 0 ? 200 : 503, sides.directoryBody(addresses, directoryTtlMs));
+	}]]);
 }
 
 /** Gives peers this VM's copies and the VMs it knows. */
@@ -91,22 +89,17 @@
 			response.writeHead(503).end();
 		}
 	}]);
-	return createSideServer({
-		...Object.fromEntries(collections),
-		'/v1/members'(_request, response) {
-			sendCbor(response, members());
-		},
-	});
+	return createSideServer([...collections, ['/v1/members', (_request, response) => {
+		sendCbor(response, members());
+	}]]);
 }
 
 /** Serves metrics in the Prometheus text format. */
 export function createMetricsServer({metrics}: SideServerOptions): Server {
-	return createSideServer({
-		async '/metrics'(_request, response) {
-			const text = await metrics.text();
-			response.writeHead(200, {'content-type': metrics.registry.contentType}).end(text);
-		},
-	});
+	return createSideServer([['/metrics', async (_request, response) => {
+		const text = await metrics.text();
+		response.writeHead(200, {'content-type': metrics.registry.contentType}).end(text);
+	}]]);
 }
 
 /** Lets a server listen at `ip:port`. */
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -96,7 +96,9 @@
 			}
 
 			this.#configuration = new ConfigurationIndex(configuration);
-			this.options.logger.info({event: 'configuration', version: configuration.version, routes: configuration.routes.length, workspaces: configuration.workspaces.length}, 'configuration is in force');
+			this.options.logger.info({
+				event: 'configuration', version: configuration.version, routes: configuration.routes.length, workspaces: configuration.workspaces.length,
+			}, 'configuration is in force');
 			void this.events.emit('configuration', this.#configuration);
 		}
 	}
@@ -112,7 +114,7 @@
 			}
 
 			const known = this.#backends.get(name);
-			if (known === undefined || known.record.state !== record.state || known.record.startedAtMs !== record.startedAtMs) {
+			if (known?.record.state !== record.state || known.record.startedAtMs !== record.startedAtMs) {
 				logger.info({
 					event: 'backend', server: name, service: record.service, failureDomain: record.failureDomain, state: record.state, coldRemainingMs: record.coldRemainingMs,
 				}, 'backend server changed');
