--- a/packages/entry/src/backends/connections.ts
+++ b/packages/entry/src/backends/connections.ts
@@ -1,5 +1,5 @@
 import {type TimerService} from '@fescuewick/core';
-import {Client} from 'undici';
+import {buildConnector, Client} from 'undici';
 
 /** A connection that was idle for longer is not used again; Node.js servers close after 5 s. */
 const maxIdleMs = 4000;
@@ -9,6 +9,8 @@
 	/** When the server last completed an answer on this connection; undefined before the first. */
 	aliveAtMs: number | undefined;
 	closed = false;
+	/** The server reset the connection: an answer without a stated length that ended there may not be whole. */
+	wasReset = false;
 
 	constructor(readonly client: Client) {}
 }
@@ -113,15 +115,24 @@
 	}
 
 	#connect(): BackendConnection {
-		const client = new Client(this.origin, {
+		const connector = buildConnector({timeout: this.options.connectMs});
+		const client: Client = new Client(this.origin, {
 			pipelining: 1,
 			keepAliveTimeout: maxIdleMs,
 			// Deadlines are kept by the requests themselves.
 			headersTimeout: 0,
 			bodyTimeout: 0,
-			connect: {timeout: this.options.connectMs},
+			connect(options, callback) {
+				connector(options, (...result) => {
+					// The client ends an answer without a stated length on a reset as on an orderly close.
+					result[1]?.once('error', () => {
+						connection.wasReset = true;
+					});
+					callback(...result);
+				});
+			},
 		});
-		const connection = new BackendConnection(client);
+		const connection: BackendConnection = new BackendConnection(client);
 		client.on('disconnect', () => {
 			this.#onDisconnect(connection);
 		});
--- a/packages/gateway/src/forward/forwarding-context.ts
+++ b/packages/gateway/src/forward/forwarding-context.ts
@@ -2,6 +2,7 @@
 import {RetryBudget, type RetryLimits} from '@fescuewick/entry/http';
 import {WaitingLine} from '../admission/waiting-line.js';
 import {type WorkspaceLimiter} from '../limits/workspace-limiter.js';
+import {type WorkMeter} from '../placement/work-meter.js';
 import {type Placer} from '../placement/placer.js';
 import {type HeaderDialect} from './header-dialect.js';
 import {type RequestRun} from './request-run.js';
@@ -35,7 +36,7 @@
 				return;
 			}
 
-			run.tryPlace();
+			run.onRoom();
 		}
 	}
 
@@ -74,6 +75,7 @@
 	readonly lines: WaitingLines;
 	readonly budgets: RetryBudgets;
 	readonly latency: RouteLatency;
+	readonly work: WorkMeter;
 	readonly isDraining: () => boolean;
 	readonly configurationVersion: () => number | undefined;
 	/** Called once for each request. */
--- a/packages/gateway/src/forward/request-run.ts
+++ b/packages/gateway/src/forward/request-run.ts
@@ -53,6 +53,7 @@
 	readonly #sendings = new Set<Sending>();
 	readonly #cancels: Cancel[] = [];
 	readonly #homes: readonly string[] | undefined;
+	#region: string | undefined;
 	#runs = 0;
 	#attempts = 0;
 	#isWaiting = false;
@@ -74,8 +75,10 @@
 	/** Starts the request. */
 	start(): void {
 		const {response, deadlineAtMs, service} = this.admitted;
-		const {timers, lines, placer} = this.context;
-		placer.arrived(service);
+		const {timers, lines, placer, work, random} = this.context;
+		work.arrived(service);
+		// Requests with homes stay in them; the others are dealt out to regions.
+		this.#region = this.#homes === undefined ? placer.regionFor(service, this.#affinityKey, random()) : undefined;
 		response.once('close', () => {
 			if (!response.writableFinished) {
 				this.#leave();
@@ -85,21 +88,24 @@
 			this.#expire();
 		}));
 		// A newcomer does not overtake requests that wait.
-		if (lines.of(service).ahead(this.priority) > 0 || !this.tryPlace()) {
+		if (lines.of(service).ahead(this.priority) > 0 || !this.#tryPlace()) {
 			this.#wait();
 		}
 	}
 
-	/** Sends the request if a server has room; returns whether it no longer waits. */
-	tryPlace(): boolean {
-		if (this.#isOver) {
-			return true;
+	/** A server may have room; has no effect if the request no longer waits, as when a nested call has sent it already. */
+	onRoom(): void {
+		if (this.#isWaiting) {
+			this.#tryPlace();
 		}
+	}
 
+	/** Sends the request if a server has room; returns whether it was sent or answered. */
+	#tryPlace(): boolean {
 		const {placer} = this.context;
-		const {service, fields, route} = this.admitted;
+		const {service} = this.admitted;
 		const placement = placer.place({
-			service, affinityKey: route.hasAffinity ? fields.affinityKey : undefined, homeRegions: this.#homes, excluded: this.#excluded,
+			service, affinityKey: this.#affinityKey, homeRegions: this.#homes, excluded: this.#excluded, region: this.#region,
 		});
 		if (placement === NoPlacement.full) {
 			return false;
@@ -120,6 +126,10 @@
 		this.#giveUp(this.#runs > 0 ? ResultCode.backendCut : ResultCode.draining, 'the VM stops');
 	}
 
+	get #affinityKey(): string | undefined {
+		return this.admitted.route.hasAffinity ? this.admitted.fields.affinityKey : undefined;
+	}
+
 	get #timeLeftMs(): number {
 		return this.admitted.deadlineAtMs - this.context.timers.nowMs();
 	}
@@ -234,7 +244,7 @@
 			}
 
 			sending.backend.outcome(true, undefined, timers.nowMs());
-			this.tryPlace();
+			this.#tryPlace();
 		}));
 	}
 
@@ -359,6 +369,10 @@
 	/** What is wrong with an answer; undefined if it may be passed on. */
 	#problemOf({attempt}: Sending): string | undefined {
 		const {status, headers} = attempt.head!;
+		if (attempt.connection.wasReset) {
+			return 'the server reset the connection within its answer';
+		}
+
 		const answer = this.context.dialect.readAnswer(status, headers);
 		if (answer.id !== undefined && answer.id !== this.admitted.id) {
 			return 'the answer belongs to another request';
@@ -437,7 +451,7 @@
 	}
 
 	#again(): void {
-		if (!this.tryPlace()) {
+		if (!this.#tryPlace()) {
 			if (this.#runs > 0) {
 				this.#giveUp(ResultCode.backendCut, 'no second server has room');
 			} else {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
 import {PeerTable} from './peers/peer-table.js';
 import {Placer} from './placement/placer.js';
 import {Prober} from './placement/prober.js';
+import {WorkMeter, type WorkBySlots} from './placement/work-meter.js';
 import {applyLimits, createFrontServer, stopFrontServer} from './server/front-server.js';
 import {RequestHandler} from './server/request-handler.js';
 import {
@@ -45,6 +46,10 @@
 const seedDelayMs = 400;
 /** Time in which a starting VM hopes for its copies before it listens anyway, in milliseconds. */
 const startWaitMs = 1500;
+/** How often the parts of requests that run in other regions are adapted, in milliseconds. */
+const steeringIntervalMs = 500;
+/** Duration of requests before one was measured, in milliseconds. */
+const initialDurationMs = 400;
 /** Upper bounds of latency buckets, in seconds. */
 const latencyBucketsS = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
 
@@ -69,6 +74,8 @@
 	readonly #followers: Record<string, StoreFollower>;
 	readonly #limiter: WorkspaceLimiter;
 	readonly #lines = new WaitingLines();
+	readonly #work = new WorkMeter();
+	readonly #latency = new RouteLatency();
 	readonly #placer: Placer;
 	readonly #prober: Prober;
 	readonly #probeAgent = new Agent({pipelining: 1, connect: {timeout: 500}});
@@ -113,7 +120,7 @@
 			store: deps.store, collection, replica: this.#state.replicas[collection], gate: this.#gate, timers, logger,
 			watchWaitMs: () => Math.round(watchWaitMs * (0.75 + (random() / 2))),
 		})]));
-		this.#limiter = new WorkspaceLimiter(timers);
+		this.#limiter = new WorkspaceLimiter(timers, () => this.settings.bounds.rateSlack);
 		this.#placer = new Placer({
 			state: this.#state,
 			timers,
@@ -175,6 +182,10 @@
 			timers.repeat(divisionIntervalMs, () => {
 				this.#limiter.update(this.#sharing());
 			}),
+			timers.repeat(steeringIntervalMs, () => {
+				this.#work.sample(steeringIntervalMs);
+				this.#placer.steer(this.#workByRegion(), steeringIntervalMs);
+			}),
 			timers.after(seedDelayMs, () => {
 				void this.#askSeeds();
 			}),
@@ -232,9 +243,35 @@
 			isReady: this.isReady,
 			revisions: Object.fromEntries(followed.map(collection => [collection, this.#state.replicas[collection].revisions])),
 			demands: this.#limiter.demands(),
+			work: this.#ownWork(),
 		};
 	}
 
+	/** Slots needed by this VM's callers, by service. */
+	#ownWork(): WorkBySlots {
+		return this.#work.slots(service => this.#latency.expectedMs(service, initialDurationMs));
+	}
+
+	/** Slots needed by the callers of each region, by service. */
+	#workByRegion(): ReadonlyMap<string, WorkBySlots> {
+		const work = new Map<string, Record<string, number>>();
+		const add = (region: string, bySlots: WorkBySlots) => {
+			const sums = work.get(region) ?? {};
+			for (const [service, slots] of Object.entries(bySlots)) {
+				sums[service] = (sums[service] ?? 0) + slots;
+			}
+
+			work.set(region, sums);
+		};
+
+		add(this.#self.region, this.#ownWork());
+		for (const heartbeat of this.#peers.alive()) {
+			add(heartbeat.record.region, heartbeat.work);
+		}
+
+		return work;
+	}
+
 	#sharing(): SharingPeers {
 		const sharing = [...this.#peers.sharing()];
 		return {members: sharing.length, demands: sharing.map(({demands}) => demands)};
@@ -257,7 +294,8 @@
 				fraction: retryRatio * retryPart,
 				minimumCount: () => Math.floor(this.settings.bounds.retrySlack * retryPart / [...this.#peers.sharing()].length),
 			}),
-			latency: new RouteLatency(),
+			latency: this.#latency,
+			work: this.#work,
 			isDraining: () => this.#isStopping,
 			configurationVersion: () => this.#state.configuration?.version,
 			finished: (run, summary) => {
--- a/packages/gateway/src/limits/workspace-limiter.ts
+++ b/packages/gateway/src/limits/workspace-limiter.ts
@@ -8,6 +8,8 @@
 export const divisionIntervalMs = 250;
 /** Part of the burst that is handed out; the rest covers parts that overlap while views of demand differ. */
 const burstPart = 0.8;
+/** Part of the stated slack that VMs hold as additional burst, because a small burst divided among VMs leaves each too little for requests that come close together. */
+const slackPart = 0.8;
 /** Tokens of a VM that has just started, in seconds of its part of the rate: those of its predecessor may have been used already. */
 const startTokensS = 0.5;
 /** A refused caller is told to come back after this time at least, in milliseconds. */
@@ -33,7 +35,8 @@
 	#peers: SharingPeers = {members: 1, demands: []};
 	#sampledMs: number;
 
-	constructor(private readonly timers: TimerService) {
+	/** `slackCount` is how many requests of a workspace may exceed its limits, over all VMs. */
+	constructor(private readonly timers: TimerService, private readonly slackCount: () => number) {
 		this.#sampledMs = timers.nowMs();
 	}
 
@@ -94,6 +97,14 @@
 		return Math.max(minRetryMs, (1 - bucket.tokens) * 1000 / Math.max(bucket.partPerS, 1));
 	}
 
+	/** What a refusal was decided by, for its decision line. */
+	explain(workspace: string): Readonly<Record<string, number>> {
+		const bucket = this.#buckets.get(workspace);
+		return bucket === undefined ? {} : {
+			limitPerS: bucket.ratePerS, partPerS: round(bucket.partPerS), capacity: round(bucket.capacity), demandPerS: round(bucket.demand.ratePerS), members: this.#peers.members,
+		};
+	}
+
 	/** Returns the token of a request that was not run. */
 	giveBack(workspace: string): void {
 		const bucket = this.#buckets.get(workspace);
@@ -116,7 +127,7 @@
 			: divideRate({
 				ratePerS, ownPerS: demand.ratePerS, othersPerS, members: this.#peers.members,
 			});
-		bucket.capacity = ratePerS === 0 ? 0 : Math.max(1, burst * burstPart * bucket.partPerS / ratePerS);
+		bucket.capacity = ratePerS === 0 ? 0 : Math.max(1, (burst * burstPart * bucket.partPerS / ratePerS) + (this.slackCount() * slackPart / this.#peers.members));
 		bucket.tokens = Math.min(bucket.capacity, bucket.tokens);
 	}
 
@@ -126,3 +137,7 @@
 		bucket.updatedMs = nowMs;
 	}
 }
+
+function round(value: number): number {
+	return Math.round(value * 10) / 10;
+}
--- a/packages/gateway/src/peers/heartbeat.ts
+++ b/packages/gateway/src/peers/heartbeat.ts
@@ -2,6 +2,7 @@
 import {decode, encode} from 'cbor-x';
 import {Collection} from '@fescuewick/store';
 import {type VmRecord} from '../model/records.js';
+import {type WorkBySlots} from '../placement/work-meter.js';
 import {type ReplicaRevisions} from '../state/replica.js';
 
 /** Requests per second that a VM's callers ask for, by workspace. */
@@ -18,14 +19,22 @@
 	readonly isReady: boolean;
 	readonly revisions: Readonly<Record<string, ReplicaRevisions>>;
 	readonly demands: Demands;
+	/** Slots that its callers' requests need, by service. */
+	readonly work: WorkBySlots;
 };
 
 /** Collections in the order in which their revisions travel. */
 const relayed = [Collection.configurations, Collection.backends, Collection.evacuations] as const;
 const formatVersion = 1;
+const fieldCount = 8;
+/** Work travels in tenths of a slot. */
+const workScale = 10;
+
+/** Names and numbers in turn. */
+type FlatPairs = ReadonlyArray<string | number>;
 
 /** Encodes a heartbeat as one datagram; fields travel by position, because their names were most of the bytes. */
-export function encodeHeartbeat({record, incarnation, sequence, isReady, revisions, demands}: Heartbeat): Buffer {
+export function encodeHeartbeat({record, incarnation, sequence, isReady, revisions, demands, work}: Heartbeat): Buffer {
 	const positions = relayed.flatMap(collection => [revisions[collection].valid, revisions[collection].changed]);
 	return encode([
 		formatVersion,
@@ -35,6 +44,7 @@
 		positions,
 		[record.vm, record.failureDomain, record.region, record.entryAddress, record.peerAddress, record.heartbeatAddress],
 		Object.entries(demands).flatMap(([workspace, ratePerS]) => [workspace, Math.ceil(ratePerS)]),
+		Object.entries(work).flatMap(([service, slots]) => [service, Math.round(slots * workScale)]),
 	]);
 }
 
@@ -47,12 +57,12 @@
 		return undefined;
 	}
 
-	if (!Array.isArray(fields) || fields[0] !== formatVersion || fields.length !== 7) {
+	if (!Array.isArray(fields) || fields[0] !== formatVersion || fields.length !== fieldCount) {
 		return undefined;
 	}
 
-	const [, incarnation, sequence, isReady, positions, place, demands] = fields as [number, number, number, boolean, number[], string[], Array<string | number>];
-	if (typeof incarnation !== 'number' || !Array.isArray(positions) || !Array.isArray(place) || place.length !== 6 || !Array.isArray(demands)) {
+	const [, incarnation, sequence, isReady, positions, place, demands, work] = fields as [number, number, number, boolean, number[], string[], FlatPairs, FlatPairs];
+	if (typeof incarnation !== 'number' || !Array.isArray(positions) || !Array.isArray(place) || place.length !== 6 || !Array.isArray(demands) || !Array.isArray(work)) {
 		return undefined;
 	}
 
@@ -65,10 +75,11 @@
 		isReady,
 		revisions: Object.fromEntries(relayed.map((collection, index) => [collection, {valid: positions[index * 2], changed: positions[(index * 2) + 1]}])),
 		demands: Object.fromEntries(pairs(demands)),
+		work: Object.fromEntries([...pairs(work)].map(([service, scaled]) => [service, scaled / workScale])),
 	};
 }
 
-function * pairs(flat: ReadonlyArray<string | number>): Generator<[string, number]> {
+function * pairs(flat: FlatPairs): Generator<[string, number]> {
 	for (let index = 0; index + 1 < flat.length; index += 2) {
 		yield [String(flat[index]), Number(flat[index + 1])];
 	}
--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -1,18 +1,25 @@
-import {rendezvousOrder, type Logger, type TimerService} from '@fescuewick/core';
+import {hashFraction, rendezvousOrder, type Logger, type TimerService} from '@fescuewick/core';
 import {ConnectionSet} from '@fescuewick/entry/http';
 import {coldAllowancePerS} from '../limits/cold-allowance.js';
 import {type Route, type Workspace} from '../model/configuration.js';
 import {type FleetState} from '../state/fleet-state.js';
 import {Backend, HealthEvent} from './backend.js';
 import {chooseBackend, type Candidate, type ChoiceReason} from './choose-backend.js';
+import {regionParts, type RegionLoad} from './region-demand.js';
 import {RegionSpill} from './region-spill.js';
+import {RegionSteering} from './region-steering.js';
+import {type WorkBySlots} from './work-meter.js';
 
 /** Longest time to open a connection to a backend server, in milliseconds; several round trips between regions. */
 const connectMs = 500;
 /** Remembered orders of objects; the oldest half is dropped beyond this count. */
 const maxOrders = 4096;
-/** Part of the stated limit of moves between regions that is used; the rest covers windows that do not match the count. */
-const spillPart = 0.8;
+/** Window over which moves between regions are limited, in milliseconds. */
+const shiftWindowMs = 2000;
+/** Part of the limit of moves between regions that planned shifts use within a window. */
+const steeringPart = 0.5;
+/** Part of that limit that requests without room in their region use. */
+const spillPart = 0.25;
 
 /** Settings of placing. */
 export type PlacementBounds = {
@@ -29,6 +36,8 @@
 	/** Object that the request concerns; undefined to spread evenly. */
 	readonly affinityKey: string | undefined;
 	readonly homeRegions: readonly string[] | undefined;
+	/** Region that the request was dealt to; undefined for the VM's own. */
+	readonly region: string | undefined;
 	/** Servers that were tried already. */
 	readonly excluded: ReadonlySet<string>;
 };
@@ -76,6 +85,7 @@
 	readonly #byService = new Map<string, Backend[]>();
 	readonly #orders = new Map<string, string[]>();
 	readonly #spills = new Map<string, RegionSpill>();
+	readonly #steerings = new Map<string, RegionSteering>();
 
 	constructor(private readonly options: PlacerOptions) {
 		options.state.events.on('backends', () => {
@@ -97,9 +107,25 @@
 		return this.#usable(service).reduce((sum, backend) => sum + (backend.region === this.options.region ? backend.slots : 0), 0);
 	}
 
-	/** Counts a request of this region for the part that may leave it. */
-	arrived(service: string): void {
+	/** The region that a request of this VM's callers is dealt to; `random` serves requests without an object. */
+	regionFor(service: string, affinityKey: string | undefined, random: number): string {
 		this.#spillOf(service).arrived();
+		return this.#steeringOf(service).next(affinityKey === undefined ? random : hashFraction(affinityKey));
+	}
+
+	/** Adapts the parts of requests that run in other regions to the work of all regions' callers. */
+	steer(work: ReadonlyMap<string, WorkBySlots>, elapsedMs: number): void {
+		const {region, bounds} = this.options;
+		const maxStep = bounds().shiftMost * steeringPart * elapsedMs / shiftWindowMs;
+		for (const service of this.#byService.keys()) {
+			const loads = new Map<string, RegionLoad>();
+			for (const backend of this.#usable(service)) {
+				const load = loads.get(backend.region) ?? {demandSlots: work.get(backend.region)?.[service] ?? 0, slots: 0};
+				loads.set(backend.region, {...load, slots: load.slots + backend.slots});
+			}
+
+			this.#steeringOf(service).update(regionParts(region, loads), maxStep);
+		}
 	}
 
 	/** Chooses the server for a request; the caller sends it at once. */
@@ -110,6 +136,11 @@
 			return NoPlacement.none;
 		}
 
+		const dealt = request.region === undefined || request.region === region ? undefined : this.#choose(allowed.filter(backend => backend.region === request.region), request);
+		if (dealt !== undefined) {
+			return {...dealt, isRemote: true};
+		}
+
 		const near = allowed.filter(backend => backend.region === region);
 		const choice = this.#choose(near, request);
 		if (choice !== undefined) {
@@ -194,6 +225,16 @@
 		return order;
 	}
 
+	#steeringOf(service: string): RegionSteering {
+		let steering = this.#steerings.get(service);
+		if (steering === undefined) {
+			steering = new RegionSteering(this.options.region);
+			this.#steerings.set(service, steering);
+		}
+
+		return steering;
+	}
+
 	#spillOf(service: string): RegionSpill {
 		let spill = this.#spills.get(service);
 		if (spill === undefined) {
--- /dev/null
+++ b/packages/gateway/src/placement/region-demand.ts
@@ -0,0 +1,44 @@
+/** Work and slots of one region for one service. */
+export type RegionLoad = {
+	/** Slots that the region's callers need, wherever their requests run. */
+	readonly demandSlots: number;
+	/** Slots of the region's usable servers. */
+	readonly slots: number;
+};
+
+/** Part of the slots of a region up to which its own callers use them before any leave; the rest absorbs short peaks. */
+const localPart = 0.7;
+/** Part of the slots of a region up to which callers of other regions are taken in. */
+const guestPart = 0.8;
+
+/**
+Part of a region's requests, 0 to 1, that should run in each other region.
+
+Load it answers: regions with few servers and as many callers as others. Only what exceeds the region's own slots leaves, and only as far as the others have slots left after their own callers; all regions with an excess divide these in proportion to it.
+*/
+export function regionParts(own: string, regions: ReadonlyMap<string, RegionLoad>): ReadonlyMap<string, number> {
+	const excessOf = ({demandSlots, slots}: RegionLoad) => Math.max(0, demandSlots - (slots * localPart));
+	const spareOf = ({demandSlots, slots}: RegionLoad) => Math.max(0, (slots * guestPart) - demandSlots);
+	const load = regions.get(own);
+	if (load === undefined || load.demandSlots <= 0) {
+		return new Map();
+	}
+
+	let totalExcess = 0;
+	let totalSpare = 0;
+	for (const region of regions.values()) {
+		totalExcess += excessOf(region);
+		totalSpare += spareOf(region);
+	}
+
+	const moved = Math.min(1, totalSpare / Math.max(totalExcess, Number.EPSILON)) * excessOf(load);
+	const parts = new Map<string, number>();
+	for (const [name, region] of regions) {
+		const spare = spareOf(region);
+		if (name !== own && spare > 0 && moved > 0) {
+			parts.set(name, (moved / load.demandSlots) * (spare / totalSpare));
+		}
+	}
+
+	return parts;
+}
--- a/packages/gateway/src/server/request-handler.ts
+++ b/packages/gateway/src/server/request-handler.ts
@@ -14,7 +14,7 @@
 /** Callers of a VM that stops are told to come back after this time, in milliseconds; another VM takes them at once. */
 const drainingRetryMs = 50;
 
-type Refusal = {readonly code: ResultCode; readonly retryMs?: number; readonly message?: string};
+type Refusal = {readonly code: ResultCode; readonly retryMs?: number; readonly message?: string; readonly workspace?: string};
 type Admission = {readonly route: Route; readonly workspace: Workspace | undefined};
 
 /** Checks callers' requests and starts those that may run. */
@@ -97,7 +97,7 @@
 
 			const retryMs = this.context.limiter.take(workspace.name);
 			if (retryMs > 0) {
-				return {code: ResultCode.rateExceeded, retryMs};
+				return {code: ResultCode.rateExceeded, retryMs, workspace: workspace.name};
 			}
 		}
 
@@ -113,7 +113,17 @@
 		}
 
 		this.context.finished(undefined, {
-			id: fields.id, code, outcome: resultCodeName(code), status: response.statusCode, durationMs: 0, attempts: 0, path: code === ResultCode.noRoute ? request.url : undefined, configuration: this.context.configurationVersion(),
+			id: fields.id,
+			code,
+			outcome: resultCodeName(code),
+			status: response.statusCode,
+			reason: message,
+			durationMs: 0,
+			attempts: 0,
+			path: code === ResultCode.noRoute ? request.url : undefined,
+			configuration: this.context.configurationVersion(),
+			retryMs,
+			...(refusal.workspace === undefined ? {} : {workspace: refusal.workspace, ...this.context.limiter.explain(refusal.workspace)}),
 		});
 	}
 
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -37,6 +37,8 @@
 		/** How far cold servers' stated rate may be exceeded: factor and count. */
 		coldOvershoot: ratio,
 		coldSlack: ratio,
+		/** Requests of a workspace that may exceed its rate and burst, over all VMs. */
+		rateSlack: ratio,
 		/** Largest part of a region's requests that may move between two windows. */
 		shiftMost: ratio,
 	}),
