Take a chunked answer whose connection ended early for cut, and refuse instead of closing while stopping

undici completes an answer that may not be followed by another when the connection ends, also in the middle of a chunked body. The way the connection ended is recorded and decides.

--- a/packages/entry/src/backends/connections.ts
+++ b/packages/entry/src/backends/connections.ts
@@ -4,13 +4,19 @@
 /** A connection that was idle for longer is not used again; Node.js servers close after 5 s. */
 const maxIdleMs = 4000;
 
+/** How a server ended a connection. */
+export enum ConnectionEnd {
+	orderly = 'orderly',
+	reset = 'reset',
+}
+
 /** One connection to a backend server; it carries one request at a time. */
 export class BackendConnection {
 	/** When the server last completed an answer on this connection; undefined before the first. */
 	aliveAtMs: number | undefined;
 	closed = false;
-	/** The server reset the connection: an answer without a stated length that ended there may not be whole. */
-	wasReset = false;
+	/** How the server ended the connection; undefined while it has not. */
+	end: ConnectionEnd | undefined;
 
 	constructor(readonly client: Client) {}
 }
@@ -124,9 +130,12 @@
 			bodyTimeout: 0,
 			connect(options, callback) {
 				connector(options, (...result) => {
-					// The client ends an answer without a stated length on a reset as on an orderly close.
+					// The client takes an answer that may not be followed by another for whole when its connection ends, however it ends.
 					result[1]?.once('error', () => {
-						connection.wasReset = true;
+						connection.end = ConnectionEnd.reset;
+					});
+					result[1]?.once('end', () => {
+						connection.end ??= ConnectionEnd.orderly;
 					});
 					callback(...result);
 				});
--- a/packages/gateway/src/forward/request-run.ts
+++ b/packages/gateway/src/forward/request-run.ts
@@ -4,7 +4,7 @@
 	errorBody, ResultCode, resultCodeName, resultCodeTable, type Cancel,
 } from '@fescuewick/core';
 import {
-	answerHeaders, Attempt, forwardHeaders, type AnswerHead, type RequestBody,
+	answerHeaders, Attempt, ConnectionEnd, forwardHeaders, type AnswerHead, type RequestBody,
 } from '@fescuewick/entry/http';
 import {admittedWaitMs, retryAfterMs} from '../admission/admission.js';
 import {type Waiting} from '../admission/waiting-line.js';
@@ -369,8 +369,8 @@
 	/** What is wrong with an answer; undefined if it may be passed on. */
 	#problemOf({attempt}: Sending): string | undefined {
 		const {status, headers} = attempt.head!;
-		if (attempt.connection.wasReset) {
-			return 'the server reset the connection within its answer';
+		if (isCut(attempt.connection.end, headers)) {
+			return 'the connection ended within the answer';
 		}
 
 		const answer = this.context.dialect.readAnswer(status, headers);
@@ -570,6 +570,11 @@
 	}
 }
 
+/** Whether the end of its connection left an answer incomplete; one with a stated length is checked by the client. */
+function isCut(end: ConnectionEnd | undefined, headers: AnswerHead['headers']): boolean {
+	return end === ConnectionEnd.reset || (end === ConnectionEnd.orderly && headers['transfer-encoding'] !== undefined);
+}
+
 /** An answer of the system itself. */
 export type ErrorAnswer = {
 	readonly response: ServerResponse;
--- a/packages/gateway/src/limits/workspace-limiter.ts
+++ b/packages/gateway/src/limits/workspace-limiter.ts
@@ -100,9 +100,11 @@
 	/** What a refusal was decided by, for its decision line. */
 	explain(workspace: string): Readonly<Record<string, number>> {
 		const bucket = this.#buckets.get(workspace);
-		return bucket === undefined ? {} : {
-			limitPerS: bucket.ratePerS, partPerS: round(bucket.partPerS), capacity: round(bucket.capacity), demandPerS: round(bucket.demand.ratePerS), members: this.#peers.members,
-		};
+		return bucket === undefined
+			? {}
+			: {
+				limitPerS: bucket.ratePerS, partPerS: round(bucket.partPerS), capacity: round(bucket.capacity), demandPerS: round(bucket.demand.ratePerS), members: this.#peers.members,
+			};
 	}
 
 	/** Returns the token of a request that was not run. */
--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -1,4 +1,6 @@
-import {hashFraction, rendezvousOrder, type Logger, type TimerService} from '@fescuewick/core';
+import {
+	hashFraction, rendezvousOrder, type Logger, type TimerService,
+} from '@fescuewick/core';
 import {ConnectionSet} from '@fescuewick/entry/http';
 import {coldAllowancePerS} from '../limits/cold-allowance.js';
 import {type Route, type Workspace} from '../model/configuration.js';
--- a/packages/gateway/src/placement/region-steering.ts
+++ b/packages/gateway/src/placement/region-steering.ts
@@ -7,7 +7,7 @@
 The parts move towards their targets by a limited step, because traffic between regions may change only by a stated part from one window of two seconds to the next. Each region gets its part of any sequence of requests up to `maxLead`; within that, an object goes to the region that its hash names, where servers have handled it before.
 */
 export class RegionSteering {
-	#parts = new Map<string, number>();
+	readonly #parts = new Map<string, number>();
 	readonly #leads = new Map<string, number>();
 
 	constructor(private readonly own: string) {}
--- a/packages/gateway/src/server/front-server.ts
+++ b/packages/gateway/src/server/front-server.ts
@@ -10,8 +10,10 @@
 const idleMarginMs = 1000;
 /** How often Node.js looks for requests whose headers arrive too slowly, in milliseconds. */
 const slowCheckMs = 1000;
-/** From SIGTERM until new connections and requests are refused, in milliseconds; callers have left by then if they renew their directory answer in time. */
-const acceptMs = 2500;
+/** From SIGTERM until new requests are refused, in milliseconds; most callers have renewed their directory answer by then, and what is accepted has time to end. */
+const acceptMs = 2700;
+/** From SIGTERM until the VM stops to listen, in milliseconds; callers with an old directory answer get a refusal that says when to come back, instead of a closed port. */
+const listenMs = 4300;
 /** Part of the grace time after which requests still in progress are given up. */
 const gracePart = 0.95;
 /** How often a stopping server looks whether it may end, in milliseconds. */
@@ -52,6 +54,7 @@
 	const startedAtMs = timers.nowMs();
 	await timers.sleep(Math.min(acceptMs, graceMs / 2));
 	handler.isRefusing = true;
+	await timers.sleep(Math.min(listenMs - acceptMs, graceMs / 4));
 	// The HTTP server's own `close` would also cut connections whose request is on its way.
 	NetServer.prototype.close.call(server);
 	while (handler.runs.size > 0 && timers.nowMs() - startedAtMs < graceMs * gracePart) {
