Tell a reset that arrives together with data from an orderly end

Cause: libuv reports a reset that arrives with data as an end of the stream, so that a cut answer without a stated length passed for whole. Ruled out: chunked answers (the parser checks them) and answers with a length (undici checks them).

--- a/packages/entry/src/backends/connections.ts
+++ b/packages/entry/src/backends/connections.ts
@@ -134,8 +134,10 @@
 					result[1]?.once('error', () => {
 						connection.end = ConnectionEnd.reset;
 					});
-					result[1]?.once('end', () => {
-						connection.end ??= ConnectionEnd.orderly;
+					const [, socket] = result;
+					socket?.once('end', () => {
+						// libuv reports a reset that arrives together with data as an end; the peer's address is gone then.
+						connection.end ??= socket.remoteAddress === undefined ? ConnectionEnd.reset : ConnectionEnd.orderly;
 					});
 					callback(...result);
 				});
