--- a/packages/entry/src/backends/connections.ts
+++ b/packages/entry/src/backends/connections.ts
@@ -136,7 +136,7 @@
 					});
 					const [, socket] = result;
 					socket?.once('end', () => {
-						// libuv reports a reset that arrives together with data as an end; the peer's address is gone then.
+						// Libuv reports a reset that arrives together with data as an end; the peer's address is gone then.
 						connection.end ??= socket.remoteAddress === undefined ? ConnectionEnd.reset : ConnectionEnd.orderly;
 					});
 					callback(...result);
--- a/packages/gateway/src/forward/header-dialect.ts
+++ b/packages/gateway/src/forward/header-dialect.ts
@@ -13,6 +13,8 @@
 
 /** What the system tells a backend server with a request. */
 export type ForwardedFields = {
+	/** Id of the request; the caller's, if it sent one. */
+	readonly id: string;
 	/** Time left for the answer, in milliseconds. */
 	readonly timeLeftMs: number;
 	readonly workspace: string | undefined;
@@ -50,5 +52,5 @@
 	/** Reads a backend server's answer. */
 	abstract readAnswer(status: number, headers: HeaderMap): AnswerFields;
 	/** Name of the header with a request's id in answers of the system. */
-	abstract readonly requestIdHeader: string;
+	abstract get requestIdHeader(): string;
 }
--- a/packages/gateway/src/forward/request-run.ts
+++ b/packages/gateway/src/forward/request-run.ts
@@ -179,7 +179,7 @@
 
 	#send(placement: Placement): void {
 		const {timers, dialect, budgets} = this.context;
-		const {request, fields, route, workspace, service, body} = this.admitted;
+		const {request, fields, id, route, workspace, service, body} = this.admitted;
 		const {backend} = placement;
 		const isReplayable = body.rest === undefined;
 		const connection = backend.connections.acquire(route.isRepeatable && isReplayable ? undefined : provenWithinMs);
@@ -225,7 +225,9 @@
 				'host',
 				request.headers.host!,
 				...keptPairs(headers, name => dialect.isReserved(name)),
-				...dialect.forwarded({timeLeftMs: Math.max(1, Math.floor(this.#timeLeftMs)), workspace: workspace?.name, server: backend.id}),
+				...dialect.forwarded({
+					id, timeLeftMs: Math.max(1, Math.floor(this.#timeLeftMs)), workspace: workspace?.name, server: backend.id,
+				}),
 			],
 			body: body.rest ?? (body.held.length > 0 ? body.held : undefined),
 		});
--- /dev/null
+++ b/packages/gateway/src/gateway.test.ts
@@ -0,0 +1,336 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {Collection} from '@fescuewick/store';
+import {type BackendRecord} from './model/records.js';
+import {
+	configuration, backendRecord, route, workspace,
+} from './testing/fixtures.js';
+import {
+	answerNotRun, answerOk, BackendStandIn, headerOf, type Answering,
+} from './testing/backend-stand-in.js';
+import {type MemoryCollectionStore} from './testing/memory-collection-store.js';
+import {startGateway, storeWith, type StartedGateway} from './testing/start-gateway.js';
+
+type BackendOptions = Partial<BackendRecord> & {readonly id: string; readonly answering?: Answering};
+
+async function addBackend(t: ExecutionContext, store: MemoryCollectionStore, {id, answering, ...changes}: BackendOptions): Promise<BackendStandIn> {
+	const server = new BackendStandIn(answering);
+	store.set(Collection.backends, id, backendRecord(id, {address: await server.listen(), ...changes}));
+	t.teardown(() => {
+		server.close();
+	});
+	return server;
+}
+
+async function start(t: ExecutionContext, ...parameters: Parameters<typeof startGateway>): Promise<StartedGateway> {
+	const started = await startGateway(...parameters);
+	t.teardown(async () => started.gateway.stop());
+	return started;
+}
+
+async function until(condition: () => boolean | Promise<boolean>): Promise<void> {
+	while (!await condition()) {
+		await sleep(20);
+	}
+}
+
+async function statusOf(response: Promise<Response>): Promise<number> {
+	const {status} = await response;
+	return status;
+}
+
+function code(response: Response): string | null {
+	return response.headers.get('x-fescuewick-code');
+}
+
+test('a request reaches a server with its workspace and without its key', async t => {
+	const store = storeWith(configuration(1));
+	const server = await addBackend(t, store, {id: 's1'});
+	const {call, lines} = await start(t, {store});
+	const response = await call('/check/1?x=2', {headers: {'test-id': 'r-1', 'test-workspace': 'other', 'test-time-left': '900'}});
+	t.is(response.status, 200);
+	t.is(await response.text(), 'ok');
+	const [seen] = server.requests;
+	t.true(seen.head.startsWith('GET /check/1?x=2 HTTP/1.1'));
+	t.is(headerOf(seen, 'test-workspace'), 'acme');
+	t.is(headerOf(seen, 'test-server'), 's1');
+	t.is(headerOf(seen, 'test-key'), '');
+	t.true(Number(headerOf(seen, 'test-time-left')) <= 900);
+	t.like(lines.find(({event}) => event === 'request'), {
+		id: 'r-1', server: 's1', outcome: 'ok', configuration: 1,
+	});
+});
+
+test('requests without a route, with no key or an unknown one are refused', async t => {
+	const store = storeWith(configuration(1));
+	const {call} = await start(t, {store});
+	t.is(await statusOf(call('/other/')), 404);
+	t.is(await statusOf(call('/check/1', {headers: {'test-key': 'no'}})), 401);
+	t.is(await statusOf(call('/check/1', {headers: {'test-key': ''}})), 401);
+});
+
+test('a VM without a configuration refuses with a time to come back, and is not ready', async t => {
+	// Guards against 404 and 401 for routes and keys that are only not known yet.
+	const store = storeWith(configuration(1));
+	store.setDown(true);
+	const {call, settings} = await start(t, {store});
+	const response = await call('/check/1');
+	t.is(response.status, 503);
+	t.true(Number(response.headers.get('retry-after')) > 0);
+	t.is(await statusOf(fetch(`http://${settings.listen.readiness}/ready`)), 503);
+	store.setDown(false);
+	await until(async () => await statusOf(fetch(`http://${settings.listen.readiness}/ready`)) === 200);
+});
+
+test('an order that a server may have run is not sent to another', async t => {
+	// Guards against reservations that run twice.
+	const store = storeWith(configuration(1));
+	const servers = await Promise.all(['s1', 's2'].map(async id => addBackend(t, store, {
+		id, answering(socket) {
+			socket.destroy();
+		},
+	})));
+	const {call} = await start(t, {store});
+	const response = await call('/reserve/1', {method: 'POST', body: 'x'});
+	t.is(response.status, 502);
+	t.is(servers[0].requests.length + servers[1].requests.length, 1);
+});
+
+test('an order that a server did not run goes to another', async t => {
+	const store = storeWith(configuration(1));
+	let rejections = 0;
+	const answering: Answering = (socket, request) => {
+		if (rejections === 0) {
+			rejections++;
+			answerNotRun(socket, request);
+		} else {
+			answerOk(socket, request);
+		}
+	};
+
+	await addBackend(t, store, {id: 's1', answering});
+	await addBackend(t, store, {id: 's2', answering});
+	const {call} = await start(t, {store});
+	t.is(await statusOf(call('/reserve/1', {method: 'POST', body: 'x'})), 200);
+	t.is(rejections, 1);
+});
+
+test('a refusal that follows from servers\' rejections says when to come back', async t => {
+	const store = storeWith(configuration(1));
+	await addBackend(t, store, {id: 's1', answering: answerNotRun});
+	const {call} = await start(t, {store});
+	const response = await call('/reserve/1', {method: 'POST', body: 'x'});
+	t.is(response.status, 503);
+	t.true(Number(response.headers.get('retry-after')) > 0);
+});
+
+test('a server\'s refusal that does not say that the request was not run is no promise to the caller', async t => {
+	const store = storeWith(configuration(1));
+	await addBackend(t, store, {
+		id: 's1', answering(socket, request) {
+			socket.write(`HTTP/1.1 503 Busy\r\ntest-id: ${headerOf(request, 'test-id')}\r\ntest-proof: 1\r\ncontent-length: 0\r\n\r\n`);
+		},
+	});
+	const {call} = await start(t, {store});
+	t.is(await statusOf(call('/reserve/1', {method: 'POST', body: 'x'})), 502);
+});
+
+const brokenAnswers: Record<string, Answering> = {
+	'belongs to another request'(socket) {
+		socket.write('HTTP/1.1 200 OK\r\ntest-id: another\r\ntest-proof: 1\r\ncontent-length: 2\r\n\r\nok');
+	},
+	'has no proof of the server'(socket, request) {
+		socket.write(`HTTP/1.1 200 OK\r\ntest-id: ${headerOf(request, 'test-id')}\r\ncontent-length: 2\r\n\r\nok`);
+	},
+	'ends within a chunked body'(socket, request) {
+		socket.end(`HTTP/1.1 200 OK\r\ntest-id: ${headerOf(request, 'test-id')}\r\ntest-proof: 1\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n`);
+	},
+	'is shorter than its length'(socket, request) {
+		socket.end(`HTTP/1.1 200 OK\r\ntest-id: ${headerOf(request, 'test-id')}\r\ntest-proof: 1\r\nconnection: close\r\ncontent-length: 9\r\n\r\nhello`);
+	},
+	'has no length and ends with a reset'(socket, request) {
+		socket.write(`HTTP/1.1 200 OK\r\ntest-id: ${headerOf(request, 'test-id')}\r\ntest-proof: 1\r\nconnection: close\r\n\r\nhello`, () => {
+			socket.resetAndDestroy();
+		});
+	},
+	'is not HTTP'(socket) {
+		socket.end('what?\r\n\r\n');
+	},
+};
+
+for (const [name, answering] of Object.entries(brokenAnswers)) {
+	test(`an answer that ${name} reaches nobody as a success`, async t => {
+		const store = storeWith(configuration(1));
+		await addBackend(t, store, {id: 's1', answering});
+		const {call} = await start(t, {store});
+		const response = await call('/reserve/1', {method: 'POST', body: 'x', headers: {'test-id': 'r-7'}});
+		t.is(response.status, 502);
+	});
+}
+
+test('a whole answer without a length is passed on', async t => {
+	const store = storeWith(configuration(1));
+	await addBackend(t, store, {
+		id: 's1', answering(socket, request) {
+			socket.end(`HTTP/1.1 200 OK\r\ntest-id: ${headerOf(request, 'test-id')}\r\ntest-proof: 1\r\nconnection: close\r\n\r\nhello`);
+		},
+	});
+	const {call} = await start(t, {store});
+	const response = await call('/reserve/1', {method: 'POST', body: 'x'});
+	t.is(response.status, 200);
+	t.is(await response.text(), 'hello');
+});
+
+test('waiting requests are sent once each when a server comes back whose connections have gone stale', async t => {
+	// Guards against a nested placement: closing the stale connections placed the next waiting request, which the outer loop then placed again.
+	const store = storeWith(configuration(1, {
+		routes: [route({
+			name: 'reserve', pathPrefix: '/reserve/', isRepeatable: false, targetMs: 4000, timeoutMs: 5000,
+		})],
+	}));
+	const answerLater: Answering = (socket, request) => {
+		setTimeout(() => {
+			answerOk(socket, request);
+		}, 400);
+	};
+
+	const near = await addBackend(t, store, {id: 's1', answering: answerLater, slots: 2});
+	const other = await addBackend(t, store, {
+		id: 's2', answering: answerLater, slots: 6, failureDomain: 'north-2',
+	});
+	const {call, lines} = await start(t, {store});
+	const send = async (id: string) => call('/reserve/1', {method: 'POST', body: 'x', headers: {'test-id': id}});
+	await Promise.all(Array.from({length: 6}, async (_, index) => send(`first-${index}`)));
+	store.set(Collection.evacuations, 'north-2', {});
+	await until(() => lines.some(({event}) => event === 'evacuation'));
+	// Connections that were idle for longer than 4 s are not used again.
+	await sleep(4200);
+	const waiting = Array.from({length: 5}, async (_, index) => send(`second-${index}`));
+	await until(() => near.requests.length + other.requests.length === 8);
+	store.unset(Collection.evacuations, 'north-2');
+	await Promise.all(waiting);
+	const ids = [...near.requests, ...other.requests].map(request => headerOf(request, 'test-id'));
+	t.is(ids.length, 11);
+	t.is(new Set(ids).size, ids.length);
+});
+
+test('work ends when its caller leaves', async t => {
+	const store = storeWith(configuration(1));
+	const server = await addBackend(t, store, {id: 's1', answering: () => undefined});
+	const {call} = await start(t, {store});
+	const controller = new AbortController();
+	const left = t.throwsAsync(call('/check/1', {signal: controller.signal}), {any: true});
+	await until(() => server.requests.length === 1);
+	controller.abort();
+	await left;
+	await until(() => server.closedConnections === 1);
+	t.is(server.requests.length, 1);
+});
+
+test('a request that a server does not answer ends at the time limit of its route', async t => {
+	const store = storeWith(configuration(1, {routes: [route({timeoutMs: 300})]}));
+	await addBackend(t, store, {id: 's1', answering: () => undefined});
+	const {call} = await start(t, {store});
+	const startedAtMs = performance.now();
+	t.is(await statusOf(call('/check/1')), 504);
+	t.true(performance.now() - startedAtMs < 800);
+});
+
+test('an object stays at one server, and a server that left gets no more requests', async t => {
+	const store = storeWith(configuration(1, {routes: [route({hasAffinity: true})]}));
+	const servers = await Promise.all(['s1', 's2', 's3'].map(async id => addBackend(t, store, {id})));
+	const {call} = await start(t, {store});
+	const send = async () => call('/check/1', {headers: {'test-object': 'figure-9'}});
+	await Promise.all([send(), send(), send()]);
+	const home = servers.findIndex(({requests}) => requests.length === 3);
+	t.not(home, -1);
+	store.unset(Collection.backends, `s${home + 1}`);
+	await until(async () => {
+		await send();
+		return servers.some((server, index) => index !== home && server.requests.length > 0);
+	});
+	const before = servers[home].requests.length;
+	await send();
+	t.is(servers[home].requests.length, before);
+});
+
+test('requests of homes stay in them, and an evacuated failure domain gets nothing', async t => {
+	const store = storeWith(configuration(1, {routes: [route({homeRegions: ['south']}), route({name: 'any', pathPrefix: '/any/'})]}));
+	const near = await addBackend(t, store, {id: 's1', failureDomain: 'north-1'});
+	const next = await addBackend(t, store, {id: 's2', failureDomain: 'north-2'});
+	const far = await addBackend(t, store, {id: 's3', failureDomain: 'south-1'});
+	const {call, lines} = await start(t, {store});
+	await Promise.all(Array.from({length: 5}, async () => call('/check/1')));
+	t.is(far.requests.length, 5);
+	store.set(Collection.evacuations, 'north-1', {});
+	await until(() => lines.some(({event}) => event === 'evacuation'));
+	const before = near.requests.length;
+	await Promise.all(Array.from({length: 4}, async () => call('/any/1')));
+	t.is(near.requests.length, before);
+	t.is(next.requests.length, 4);
+});
+
+test('a cold server gets no more than this VM\'s allowance', async t => {
+	// Guards against crashing a server that has just started.
+	const store = storeWith(configuration(1, {workspaces: [workspace('acme')]}));
+	const server = await addBackend(t, store, {id: 's1', coldRemainingMs: 3000, slots: 100});
+	const {call} = await start(t, {store});
+	const responses = await Promise.all(Array.from({length: 40}, async () => call('/check/1')));
+	t.true(server.requests.length <= (6 * 1.5) + 5);
+	t.true(responses.some(response => code(response) === '1202'));
+});
+
+test('a VM that the store refuses takes changes over from its peers', async t => {
+	const shared = storeWith(configuration(1));
+	const first = await start(t, {store: shared, vm: 'a1'});
+	const cut = storeWith(configuration(1));
+	cut.setDown(true);
+	const second = await start(t, {store: cut, vm: 'a2', seeds: [first.settings.listen.peers]});
+	await until(async () => await statusOf(second.call('/check/1')) !== 503 || second.lines.some(({event}) => event === 'configuration'));
+	shared.set(Collection.configurations, 'main', configuration(5, {routes: [route({host: '127.0.0.1', pathPrefix: '/new/'})]}));
+	await until(() => second.lines.some(({event, version}) => event === 'configuration' && version === 5));
+	t.is(await statusOf(second.call('/check/1')), 404);
+});
+
+test('the directory names ready VMs of the caller\'s failure domain, else of its region', async t => {
+	const store = storeWith(configuration(1));
+	const first = await start(t, {store, vm: 'a1', failureDomain: 'north-1'});
+	const second = await start(t, {store, vm: 'b1', failureDomain: 'north-2'});
+	const ask = async (domain: string) => {
+		const response = await fetch(`http://${first.settings.listen.directory}/directory?domain=${domain}&region=north`);
+		return ((await response.json()) as {addresses: string[]}).addresses;
+	};
+
+	await until(async () => {
+		const [address] = await ask('north-2');
+		return address === second.settings.listen.entry;
+	});
+	t.deepEqual(await ask('north-1'), [first.settings.listen.entry]);
+	const both = await ask('north-3');
+	t.is(both.length, 2);
+});
+
+test('a stopping VM is not ready, ends what it has accepted, and then refuses', async t => {
+	const store = storeWith(configuration(1));
+	await addBackend(t, store, {
+		id: 's1', answering(socket, request) {
+			setTimeout(() => {
+				answerOk(socket, request);
+			}, 800);
+		},
+	});
+	const {gateway, call, settings} = await startGateway({store});
+	const accepted = call('/check/1');
+	await until(async () => await statusOf(fetch(`http://${settings.listen.readiness}/ready`)) === 200);
+	const stopped = gateway.stop();
+	t.is(await statusOf(fetch(`http://${settings.listen.readiness}/ready`)), 503);
+	t.is(await statusOf(accepted), 200);
+	let refused: Response | undefined;
+	await until(async () => {
+		refused = await call('/check/1');
+		return refused.status === 503;
+	});
+	t.is(code(refused!), '1204');
+	t.true(Number(refused!.headers.get('retry-after')) >= 0);
+	await stopped;
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -157,7 +157,11 @@
 
 	/** Whether callers may be sent to this VM. */
 	get isReady(): boolean {
-		return this.#isListening && !this.#isStopping && this.#state.configuration !== undefined && this.#state.replicas[Collection.backends].isLoaded;
+		return this.#isListening && !this.#isStopping && this.#hasCopies;
+	}
+
+	get #hasCopies(): boolean {
+		return this.#state.configuration !== undefined && this.#state.replicas[Collection.backends].isLoaded;
 	}
 
 	/** Starts all parts; resolves when the VM listens. */
@@ -191,7 +195,7 @@
 			}),
 		);
 		this.#prober.start();
-		while (this.#state.configuration === undefined && timers.nowMs() - startedAtMs < startWaitMs) {
+		while (!this.#hasCopies && timers.nowMs() - startedAtMs < startWaitMs) {
 			await timers.sleep(20);
 		}
 
--- a/packages/gateway/src/testing/backend-stand-in.ts
+++ b/packages/gateway/src/testing/backend-stand-in.ts
@@ -1,5 +1,7 @@
 import {once} from 'node:events';
-import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {
+	createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
 
 /** A request as the stand-in read it. */
 export type SeenRequest = {readonly head: string; readonly body: string};
--- a/packages/gateway/src/testing/fixtures.ts
+++ b/packages/gateway/src/testing/fixtures.ts
@@ -39,7 +39,9 @@
 export function configuration(version: number, changes: Partial<Configuration> = {}): Configuration {
 	return {
 		version,
-		routes: [route(), route({name: 'reserve', pathPrefix: '/reserve/', isRepeatable: false, priority: 1})],
+		routes: [route(), route({
+			name: 'reserve', pathPrefix: '/reserve/', isRepeatable: false, priority: 1,
+		})],
 		services: [{
 			name: 'stock', healthPath: '/health', maxConnections: 100, coldStartMs: 3000, coldRatePerS: 6,
 		}],
@@ -57,7 +59,9 @@
 
 /** Headers of the tests' callers and servers. */
 export class TestDialect extends HeaderDialect {
-	readonly requestIdHeader = 'test-id';
+	get requestIdHeader(): string {
+		return 'test-id';
+	}
 
 	readRequest(headers: HeaderMap): RequestFields {
 		const timeLeft = text(headers['test-time-left']);
@@ -67,11 +71,11 @@
 	}
 
 	isReserved(name: string): boolean {
-		return ['test-key', 'test-workspace', 'test-server', 'test-time-left'].includes(name);
+		return ['test-id', 'test-key', 'test-workspace', 'test-server', 'test-time-left'].includes(name);
 	}
 
-	forwarded({timeLeftMs, workspace, server}: ForwardedFields): string[] {
-		return ['test-time-left', String(timeLeftMs), 'test-server', server, ...(workspace === undefined ? [] : ['test-workspace', workspace])];
+	forwarded({id, timeLeftMs, workspace, server}: ForwardedFields): string[] {
+		return ['test-id', id, 'test-time-left', String(timeLeftMs), 'test-server', server, ...(workspace === undefined ? [] : ['test-workspace', workspace])];
 	}
 
 	readAnswer(status: number, headers: HeaderMap): AnswerFields {
--- /dev/null
+++ b/packages/gateway/src/testing/start-gateway.ts
@@ -0,0 +1,89 @@
+import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
+import {createServer, type AddressInfo} from 'node:net';
+import {createMemoryLogger, SystemTimerService, type TimerService} from '@fescuewick/core';
+import {Collection} from '@fescuewick/store';
+import {Gateway} from '../gateway.js';
+import {type Configuration} from '../model/configuration.js';
+import {type GatewaySettings} from '../settings.js';
+import {configuration as defaultConfiguration, TestDialect, TestSides} from './fixtures.js';
+import {MemoryCollectionStore} from './memory-collection-store.js';
+
+/** A free TCP port on loopback that is free for UDP as well. */
+async function freeAddress(): Promise<string> {
+	for (;;) {
+		const server = createServer();
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const {port} = server.address() as AddressInfo;
+		const socket = createSocket('udp4');
+		const isFree = await new Promise<boolean>(resolve => {
+			socket.once('error', () => {
+				resolve(false);
+			});
+			socket.bind(port, '127.0.0.1', () => {
+				resolve(true);
+			});
+		});
+		socket.close();
+		server.close();
+		await once(server, 'close');
+		if (isFree) {
+			return `127.0.0.1:${port}`;
+		}
+	}
+}
+
+/** A gateway on loopback with its settings and log lines. */
+export type StartedGateway = {
+	readonly gateway: Gateway;
+	readonly settings: GatewaySettings;
+	readonly lines: Array<Record<string, unknown>>;
+	/** Sends a request to the entry address. */
+	readonly call: (path: string, options?: RequestInit) => Promise<Response>;
+};
+
+/** How to start a gateway; without a store it gets one with the default configuration. */
+export type StartOptions = {
+	readonly vm?: string;
+	readonly failureDomain?: string;
+	readonly store?: MemoryCollectionStore;
+	readonly seeds?: readonly string[];
+	readonly bounds?: Partial<GatewaySettings['bounds']>;
+	readonly timers?: TimerService;
+};
+
+/** Starts a gateway on free ports. */
+export async function startGateway({vm = 'a1', failureDomain = 'north-1', store = storeWith(defaultConfiguration(1)), seeds = [], bounds = {}, timers = new SystemTimerService()}: StartOptions = {}): Promise<StartedGateway> {
+	const [entry, readiness, directory, peers, heartbeats, metrics] = await Promise.all(Array.from({length: 6}, async () => freeAddress()));
+	const settings: GatewaySettings = {
+		location: {vm, failureDomain, region: failureDomain.split('-')[0]},
+		regions: {'north-1': 'north', 'north-2': 'north', 'south-1': 'south'},
+		listen: {
+			entry, readiness, directory, peers, heartbeats, metrics,
+		},
+		seeds: [...seeds],
+		store: {address: '127.0.0.1:1'},
+		bounds: {
+			graceMs: 3000, maxDirectoryTtlMs: 5000, retryRatio: 0.2, retrySlack: 50, retryWindowMs: 10_000, coldOvershoot: 1.5, coldSlack: 5, rateSlack: 20, shiftMost: 0.15, ...bounds,
+		},
+	};
+	const lines: Array<Record<string, unknown>> = [];
+	const gateway = new Gateway(settings, {
+		store, dialect: new TestDialect(), sides: new TestSides(), timers, logger: createMemoryLogger(lines, 'info'), random: Math.random,
+	});
+	await gateway.start();
+	return {
+		gateway,
+		settings,
+		lines,
+		call: async (path, options) => fetch(`http://${entry}${path}`, {...options, headers: {'test-key': 'key-acme', ...options?.headers}}),
+	};
+}
+
+/** A store that holds a configuration whose routes answer for any host of the tests. */
+export function storeWith(configuration: Configuration): MemoryCollectionStore {
+	const store = new MemoryCollectionStore();
+	store.set(Collection.configurations, 'main', {...configuration, routes: configuration.routes.map(route => ({...route, host: '127.0.0.1'}))});
+	return store;
+}
