Hold workspaces to their limits by one bucket each, estimated from what all VMs passed

Ruled out: slower demand (small counts swing whatever the weight), larger bursts for each VM (they add up). The model test plays cuts, restarts and onsets against the platform's bound.

--- a/packages/gateway/src/forward/request-run.test.ts
+++ b/packages/gateway/src/forward/request-run.test.ts
@@ -1,4 +1,4 @@
-import {EventEmitter} from 'node:events';
+import {PassThrough} from 'node:stream';
 import test from 'ava';
 import {ManualTimerService} from '@fescuewick/core';
 import {noBody, type BackendConnection, type ConnectionSet} from '@fescuewick/entry/http';
@@ -43,7 +43,7 @@
 					backend: backends.find(({id}) => !excluded.has(id))!, reason: ChoiceReason.home, load: 0, isRemote: false,
 				},
 		} as unknown as Placer,
-		limiter: new WorkspaceLimiter(timers, () => 0),
+		limiter: new WorkspaceLimiter(timers, () => ({overshoot: 0, slackCount: 0, windowMs: 1000})),
 		lines,
 		budgets: new RetryBudgets(timers, {windowMs: 10_000, fraction: 0.2, minimumCount: () => 10}),
 		latency: new RouteLatency(),
@@ -57,7 +57,7 @@
 			request: {
 				rawHeaders: [], headers: {host: 'shop.test'}, method: 'POST', url: path,
 			},
-			response: new EventEmitter(),
+			response: new PassThrough(),
 			fields: {},
 			id: path,
 			route: route({isRepeatable: false}),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,7 +10,7 @@
 } from './forward/forwarding-context.js';
 import {type HeaderDialect} from './forward/header-dialect.js';
 import {RouteLatency} from './forward/route-latency.js';
-import {divisionIntervalMs, WorkspaceLimiter, type SharingPeers} from './limits/workspace-limiter.js';
+import {measureIntervalMs, WorkspaceLimiter} from './limits/workspace-limiter.js';
 import {type VmRecord} from './model/records.js';
 import {CatchUp} from './peers/catch-up.js';
 import {Gossip} from './peers/gossip.js';
@@ -114,13 +114,17 @@
 			describe: () => this.#describe(),
 			onHeartbeat: heartbeat => {
 				this.#catchUp.onHeartbeat(heartbeat);
+				this.#limiter.hear(heartbeat);
 			},
 		});
 		this.#followers = Object.fromEntries(followed.map(collection => [collection, new StoreFollower({
 			store: deps.store, collection, replica: this.#state.replicas[collection], gate: this.#gate, timers, logger,
 			watchWaitMs: () => Math.round(watchWaitMs * (0.75 + (random() / 2))),
 		})]));
-		this.#limiter = new WorkspaceLimiter(timers, () => this.settings.bounds.rateSlack);
+		this.#limiter = new WorkspaceLimiter(timers, () => {
+			const {rateOvershoot, rateSlack, rateWindowMs} = this.settings.bounds;
+			return {overshoot: rateOvershoot, slackCount: rateSlack, windowMs: rateWindowMs};
+		});
 		this.#placer = new Placer({
 			state: this.#state,
 			timers,
@@ -128,7 +132,7 @@
 			region: location.region,
 			regionOf: failureDomain => regions[failureDomain],
 			bounds: () => this.settings.bounds,
-			sharersInRegion: () => [...this.#peers.sharing()].filter(({record}) => record.region === location.region).length,
+			sharersInRegion: () => [...this.#peers.sharing()].filter(({region}) => region === location.region).length,
 			onRoom: () => {
 				this.#lines.room();
 			},
@@ -150,7 +154,7 @@
 		this.#front = createFrontServer(this.#handler, logger);
 		this.#sideServers = this.#createSideServers();
 		this.#state.events.on('configuration', index => {
-			this.#limiter.configure(index.workspaces.values(), this.#sharing());
+			this.#limiter.configure(index.workspaces.values());
 			applyLimits(this.#front, index.configuration.limits);
 		});
 	}
@@ -183,8 +187,8 @@
 				this.#peers.expire();
 				this.#state.expire();
 			}),
-			timers.repeat(divisionIntervalMs, () => {
-				this.#limiter.update(this.#sharing());
+			timers.repeat(measureIntervalMs, () => {
+				this.#limiter.update(new Set([...this.#peers.sharing()].map(({vm}) => vm)));
 			}),
 			timers.repeat(steeringIntervalMs, () => {
 				this.#work.sample(steeringIntervalMs);
@@ -246,7 +250,7 @@
 			incarnation: this.#incarnation,
 			isReady: this.isReady,
 			revisions: Object.fromEntries(followed.map(collection => [collection, this.#state.replicas[collection].revisions])),
-			demands: this.#limiter.demands(),
+			buckets: this.#limiter.reports(),
 			work: this.#ownWork(),
 		};
 	}
@@ -276,11 +280,6 @@
 		return work;
 	}
 
-	#sharing(): SharingPeers {
-		const sharing = [...this.#peers.sharing()];
-		return {members: sharing.length, demands: sharing.map(({demands}) => demands)};
-	}
-
 	#createContext(): ForwardingContext {
 		const {timers, random, dialect} = this.deps;
 		const requests = this.#metrics.counter('fescuewick_requests_total', 'Requests by result', ['result'] as const);
--- a/packages/gateway/src/limits/workspace-limiter.test.ts
+++ b/packages/gateway/src/limits/workspace-limiter.test.ts
@@ -1,90 +1,102 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {ManualTimerService} from '@fescuewick/core';
-import {type Demands} from '../peers/heartbeat.js';
-import {workspace} from '../testing/fixtures.js';
-import {divideRate} from './rate-division.js';
-import {divisionIntervalMs, WorkspaceLimiter, type SharingPeers} from './workspace-limiter.js';
+import {vmRecord, workspace} from '../testing/fixtures.js';
+import {type Heartbeat} from '../peers/heartbeat.js';
+import {measureIntervalMs, WorkspaceLimiter} from './workspace-limiter.js';
 
 /** The platform's bound: requests in a window of this length, in milliseconds, may exceed rate and burst by a tenth and a count. */
 const windowMs = 5000;
 const overshoot = 0.1;
 const slackCount = 20;
 const stepMs = 50;
+/** Silent peers keep their part for this time, in milliseconds. */
+const reservedMs = 30_000;
 
-test('parts of VMs with the same view add up to the rate', t => {
-	fc.assert(fc.property(fc.array(fc.double({min: 0, max: 500, noNaN: true}), {minLength: 1, maxLength: 20}), fc.double({min: 1, max: 1000, noNaN: true}), (demands, ratePerS) => {
-		const total = demands.reduce((sum, demand) => sum + demand, 0);
-		const parts = demands.map(ownPerS => divideRate({
-			ratePerS, ownPerS, othersPerS: total - ownPerS, members: demands.length,
-		}));
-		const sum = parts.reduce((before, part) => before + part, 0);
-		return Math.abs(sum - ratePerS) < ratePerS * 1e-6;
-	}));
-	t.pass();
-});
-
-type Simulation = {readonly passed: number[]; readonly refusedWithin: number};
-
-/** Plays VMs whose views of each other's demand are late, with changes of demand, cuts and restarts. */
-function simulate({ratePerS, demandsPerS, viewDelayMs, cutVm, restartAtMs}: {
+type Play = {
 	readonly ratePerS: number;
 	/** Demand of each VM by second. */
 	readonly demandsPerS: ReadonlyArray<readonly number[]>;
-	readonly viewDelayMs: number;
-	readonly cutVm: number | undefined;
-	readonly restartAtMs: number | undefined;
-}): Simulation {
+	/** Interval of heartbeats and their delay, in milliseconds. */
+	readonly intervalMs: number;
+	readonly delayMs: number;
+	/** A VM that neither hears nor is heard from 4 s to 9 s. */
+	readonly cutVm?: number;
+	/** All VMs restart at this time. */
+	readonly restartAtMs?: number;
+	/** One VM restarts at this time. */
+	readonly singleRestartAtMs?: number;
+};
+
+/** Plays VMs that tell each other what they passed, while demand moves. */
+function play({ratePerS, demandsPerS, intervalMs, delayMs, cutVm, restartAtMs, singleRestartAtMs}: Play): {passed: number[]; refused: number} {
 	const timers = new ManualTimerService();
 	const limits = [workspace('acme', {ratePerS, burst: ratePerS})];
-	const members = demandsPerS.length;
+	const names = demandsPerS.map((_, vm) => `vm-${vm}`);
+	let starts = 0;
 	const start = () => {
-		const limiter = new WorkspaceLimiter(timers, () => slackCount);
-		limiter.configure(limits, {members, demands: []});
-		return limiter;
+		const limiter = new WorkspaceLimiter(timers, () => ({overshoot, slackCount, windowMs}));
+		limiter.configure(limits);
+		starts++;
+		return {limiter, incarnation: starts};
 	};
 
-	let limiters = demandsPerS.map(() => start());
-	const told: Array<{atMs: number; vm: number; demands: Demands}> = [];
+	const vms = names.map(() => start());
+	const onTheWay: Array<{atMs: number; from: number; heartbeat: Heartbeat}> = [];
+	const heardAtMs = names.map(() => names.map(() => 0));
+	const owed = names.map(() => 0);
 	const passed: number[] = [];
-	let refusedWithin = 0;
-	const owed = demandsPerS.map(() => 0);
-	for (let nowMs = 0; nowMs < demandsPerS[0].length * 1000; nowMs += stepMs) {
+	let refused = 0;
+	// VMs run for 4 s before the first request, as on the platform.
+	for (let nowMs = -4000; nowMs < demandsPerS[0].length * 1000; nowMs += stepMs) {
 		timers.pause(stepMs);
 		if (nowMs === restartAtMs) {
-			limiters = demandsPerS.map(() => start());
+			vms.splice(0, vms.length, ...names.map(() => start()));
 		}
 
-		for (const [vm, limiter] of limiters.entries()) {
-			owed[vm] += demandsPerS[vm][Math.floor(nowMs / 1000)] * stepMs / 1000;
-			for (; owed[vm] >= 1; owed[vm]--) {
-				if (limiter.take('acme') === 0) {
-					passed.push(nowMs);
-				} else {
-					refusedWithin++;
-				}
+		if (nowMs === singleRestartAtMs) {
+			vms[0] = start();
+		}
+
+		const isCut = (vm: number) => vm === cutVm && nowMs >= 4000 && nowMs < 9000;
+		for (const [vm, {limiter, incarnation}] of vms.entries()) {
+			if (nowMs % measureIntervalMs === 0) {
+				limiter.update(new Set(names.filter((_, other) => nowMs - heardAtMs[vm][other] <= reservedMs)));
 			}
 
-			if (nowMs % divisionIntervalMs === 0) {
-				limiter.update(viewOf(vm, nowMs));
-				told.push({atMs: nowMs, vm, demands: limiter.demands()});
+			// Heartbeats of VMs are spread over the interval.
+			if ((nowMs + (vm * stepMs)) % intervalMs === 0 && !isCut(vm)) {
+				onTheWay.push({
+					atMs: nowMs + delayMs, from: vm, heartbeat: {
+						record: vmRecord(names[vm], 'north-1'), incarnation, sequence: nowMs, isReady: true, revisions: {}, buckets: limiter.reports(), work: {},
+					},
+				});
 			}
 		}
-	}
-
-	return {passed, refusedWithin};
 
-	function viewOf(vm: number, nowMs: number): SharingPeers {
-		const latest = new Map<number, Demands>();
-		for (const {atMs, vm: other, demands} of told) {
-			const isHeard = other !== vm && (cutVm === undefined || nowMs < 4000 || (vm !== cutVm && other !== cutVm));
-			if (atMs <= nowMs - viewDelayMs && (isHeard || (other !== vm && atMs < 4000))) {
-				latest.set(other, demands);
+		while (onTheWay.length > 0 && onTheWay[0].atMs <= nowMs) {
+			const {from, heartbeat} = onTheWay.shift()!;
+			for (const [vm, {limiter}] of vms.entries()) {
+				if (vm !== from && !isCut(vm) && !isCut(from)) {
+					limiter.hear(heartbeat);
+					heardAtMs[vm][from] = nowMs;
+				}
 			}
 		}
 
-		return {members, demands: [...latest.values()]};
+		for (const [vm, {limiter}] of vms.entries()) {
+			owed[vm] += nowMs < 0 ? 0 : demandsPerS[vm][Math.floor(nowMs / 1000)] * stepMs / 1000;
+			for (; owed[vm] >= 1; owed[vm]--) {
+				if (limiter.take('acme') === 0) {
+					passed.push(nowMs);
+				} else {
+					refused++;
+				}
+			}
+		}
 	}
+
+	return {passed, refused};
 }
 
 function mostInWindow(passed: readonly number[]): number {
@@ -101,31 +113,48 @@
 	return most;
 }
 
-test('all VMs together stay within rate and burst while demand moves, a VM is cut off and all restart', t => {
-	// Guards against parts that overlap: a late view, a cut VM that keeps its part, tokens that a restart hands out again.
-	const vms = 8;
+const vmCount = 8;
+
+test('all VMs together stay within rate and burst while demand moves, a VM is cut off and VMs restart', t => {
+	// Guards against tokens that several VMs spend, that a cut VM spends on its own, or that a restart hands out again.
 	fc.assert(fc.property(
-		fc.integer({min: 10, max: 150}),
-		fc.array(fc.array(fc.integer({min: 0, max: 120}), {minLength: 12, maxLength: 12}), {minLength: vms, maxLength: vms}),
-		fc.integer({min: 100, max: 1200}),
-		fc.option(fc.integer({min: 0, max: vms - 1}), {nil: undefined}),
+		fc.integer({min: 10, max: 200}),
+		fc.array(fc.array(fc.oneof(fc.constant(0), fc.integer({min: 0, max: 30}), fc.integer({min: 0, max: 250})), {minLength: 12, maxLength: 12}), {minLength: vmCount, maxLength: vmCount}),
+		fc.constantFrom(500, 1000),
+		fc.constantFrom(0, 50, 150),
+		fc.option(fc.integer({min: 0, max: vmCount - 1}), {nil: undefined}),
 		fc.option(fc.constantFrom(3000, 6000, 9000), {nil: undefined}),
-		(ratePerS, demandsPerS, viewDelayMs, cutVm, restartAtMs) => {
-			const {passed} = simulate({
-				ratePerS, demandsPerS, viewDelayMs, cutVm, restartAtMs,
+		fc.option(fc.constantFrom(2000, 7000), {nil: undefined}),
+		// eslint-disable-next-line max-params
+		(ratePerS, demandsPerS, intervalMs, delayMs, cutVm, restartAtMs, singleRestartAtMs) => {
+			const {passed} = play({
+				ratePerS, demandsPerS, intervalMs, delayMs, cutVm, restartAtMs, singleRestartAtMs,
 			});
 			const bound = (((ratePerS * windowMs / 1000) + ratePerS) * (1 + overshoot)) + slackCount;
 			return mostInWindow(passed) <= bound;
 		},
-	), {numRuns: 60, seed: 4});
+	), {numRuns: 300, seed: 11});
 	t.pass();
 });
 
-test('steady demand inside the rate is not refused', t => {
-	// Guards against wrongful refusals while nothing fails.
-	const demandsPerS = Array.from({length: 8}, (_, vm) => Array.from({length: 20}, () => vm + 1));
-	const {refusedWithin, passed} = simulate({
-		ratePerS: 60, demandsPerS, viewDelayMs: 600, cutVm: undefined, restartAtMs: undefined,
+test('a workspace that sends several times its rate everywhere at once is held to it and gets it', t => {
+	// Plays the onset of a greedy workspace: 0.6 of the rate, then 8 times as much at all VMs in the same second.
+	const demandsPerS = Array.from({length: 11}, () => Array.from({length: 14}, (_, second) => second < 5 ? 3 : 24));
+	const ratePerS = 55;
+	const {passed} = play({
+		ratePerS, demandsPerS, intervalMs: 1000, delayMs: 20,
+	});
+	const bound = (((ratePerS * windowMs / 1000) + ratePerS) * (1 + overshoot)) + slackCount;
+	t.true(mostInWindow(passed) <= bound, `${mostInWindow(passed)} of ${bound}`);
+	const late = passed.filter(atMs => atMs >= 8000).length / 6;
+	t.true(late >= ratePerS * 0.9, `${late} requests per second passed`);
+});
+
+test('clumps of requests inside the rate are hardly refused', t => {
+	// Guards against wrongful refusals while nothing fails: 0.6 of the rate, in clumps that change their VM each second.
+	const demandsPerS = Array.from({length: 11}, (_, vm) => Array.from({length: 30}, (_unused, second) => [0, 6, 1, 4, 0, 2][(vm + (second * 5)) % 6]));
+	const {passed, refused} = play({
+		ratePerS: 40, demandsPerS, intervalMs: 1000, delayMs: 20,
 	});
-	t.true(refusedWithin <= passed.length * 0.001, `${refusedWithin} of ${passed.length} refused`);
+	t.true(refused <= (passed.length + refused) * 0.01, `${refused} of ${passed.length + refused} refused`);
 });
--- a/packages/gateway/src/limits/workspace-limiter.ts
+++ b/packages/gateway/src/limits/workspace-limiter.ts
@@ -1,153 +1,132 @@
 import {type TimerService} from '@fescuewick/core';
-import {DemandMeter} from '@fescuewick/shares';
 import {type Workspace} from '../model/configuration.js';
-import {type Demands} from '../peers/heartbeat.js';
-import {divideRate} from './rate-division.js';
-
-/** Interval at which demand is measured and parts are divided anew, in milliseconds; half a heartbeat. */
-export const divisionIntervalMs = 250;
-/** Part of the burst that is handed out; the rest covers parts that overlap while views of demand differ. */
-const burstPart = 0.8;
-/** Part of the stated slack that VMs hold as additional burst, because a small burst divided among VMs leaves each too little for requests that come close together. */
-const slackPart = 0.8;
-/** Tokens of a VM that has just started, in seconds of its part of the rate: those of its predecessor may have been used already. */
-const startTokensS = 0.5;
-/**
-Time for which demand must have lasted at a VM before it counts for the VM's own part, in milliseconds.
-By then all peers have heard of it (the slower heartbeat interval and a measuring interval, with some margin), so that parts never add up to more than the rate when demand rises everywhere at once.
-*/
-const settledMs = 1500;
-/** A refused caller is told to come back after this time at least, in milliseconds. */
+import {type Heartbeat} from '../peers/heartbeat.js';
+import {FleetBucket, type BucketReport} from './fleet-bucket.js';
+
+/** Interval at which demand is measured, in milliseconds; half a heartbeat. */
+export const measureIntervalMs = 250;
+/** Weight of a new measurement of demand; with the interval, demand is smoothed over about a second, as few requests come in each. */
+const demandWeight = 0.25;
+/** A starting VM takes its own estimate of tokens for good when no peer told one for this time, in milliseconds. */
+const estimateWaitMs = 2500;
+/** A refused caller is told to come back after this time at least and at most, in milliseconds. */
 const minRetryMs = 200;
-
-const settledSamples = settledMs / divisionIntervalMs;
-
-type Bucket = {
-	ratePerS: number;
-	burst: number;
-	/** This VM's part of the rate. */
-	partPerS: number;
-	capacity: number;
-	tokens: number;
-	updatedMs: number;
-	readonly demand: DemandMeter;
-	/** Demand at the last measurements, the newest last. */
-	recent: number[];
+const maxRetryMs = 2000;
+/** Reports by workspace, as they travel in heartbeats. */
+export type BucketReports = Readonly<Record<string, BucketReport>>;
+
+/** By how much all VMs together may exceed a workspace's limits in a window. */
+export type RateTolerance = {
+	/** Part of rate and burst. */
+	readonly overshoot: number;
+	readonly slackCount: number;
+	readonly windowMs: number;
 };
 
-/** Other VMs that share the limits, and their demands. */
-export type SharingPeers = {readonly members: number; readonly demands: readonly Demands[]};
+type Entry = {limits: Pick<Workspace, 'ratePerS' | 'burst'>; readonly bucket: FleetBucket; count: number; askedPerS: number};
 
-/** Holds workspaces to their rate and burst over all VMs: each VM spends from a bucket with its part of both. */
+/** Holds workspaces to their rate and burst over all VMs, with one bucket each. */
 export class WorkspaceLimiter {
-	readonly #buckets = new Map<string, Bucket>();
-	#peers: SharingPeers = {members: 1, demands: []};
+	readonly #entries = new Map<string, Entry>();
+	readonly #startedMs: number;
 	#sampledMs: number;
 
-	/** `slackCount` is how many requests of a workspace may exceed its limits, over all VMs. */
-	constructor(private readonly timers: TimerService, private readonly slackCount: () => number) {
-		this.#sampledMs = timers.nowMs();
+	constructor(private readonly timers: TimerService, private readonly tolerance: () => RateTolerance) {
+		this.#startedMs = timers.nowMs();
+		this.#sampledMs = this.#startedMs;
 	}
 
-	/** Applies the limits of a configuration; buckets of workspaces that stay keep their tokens. */
-	configure(workspaces: Iterable<Workspace>, peers: SharingPeers): void {
-		this.#peers = peers;
+	/** Applies the limits of a configuration; buckets of workspaces that stay keep their state. */
+	configure(workspaces: Iterable<Workspace>): void {
 		const names = new Set<string>();
 		for (const {name, ratePerS, burst} of workspaces) {
 			names.add(name);
-			const known = this.#buckets.get(name);
+			const limits = this.#limitsOf(ratePerS, burst);
+			const known = this.#entries.get(name);
 			if (known === undefined) {
-				const bucket: Bucket = {
-					ratePerS, burst, partPerS: 0, capacity: 0, tokens: 0, updatedMs: this.timers.nowMs(), demand: new DemandMeter(), recent: [],
-				};
-				this.#buckets.set(name, bucket);
-				this.#divide(name, bucket);
-				bucket.tokens = Math.min(bucket.capacity, bucket.partPerS * startTokensS);
+				this.#entries.set(name, {
+					limits, bucket: new FleetBucket(limits, this.timers.nowMs()), count: 0, askedPerS: 0,
+				});
 			} else {
-				known.ratePerS = ratePerS;
-				known.burst = burst;
-				this.#divide(name, known);
+				known.limits = limits;
+				known.bucket.configure(limits);
 			}
 		}
 
-		for (const name of this.#buckets.keys()) {
+		for (const name of this.#entries.keys()) {
 			if (!names.has(name)) {
-				this.#buckets.delete(name);
+				this.#entries.delete(name);
 			}
 		}
 	}
 
-	/** Measures demand and divides the rates anew; to be called every `divisionIntervalMs`. */
-	update(peers: SharingPeers): void {
-		this.#peers = peers;
+	/** Takes in what a peer passed. */
+	hear({record, incarnation, buckets}: Heartbeat): void {
 		const nowMs = this.timers.nowMs();
-		for (const [name, bucket] of this.#buckets) {
-			bucket.demand.sample(nowMs - this.#sampledMs);
-			bucket.recent.push(bucket.demand.ratePerS);
-			bucket.recent = bucket.recent.slice(-settledSamples);
-			this.#divide(name, bucket);
+		for (const [name, report] of Object.entries(buckets)) {
+			this.#entries.get(name)?.bucket.hear(record.vm, incarnation, report, nowMs);
 		}
+	}
 
+	/** Measures demand; to be called every `measureIntervalMs` with the VMs that share the limits, this one included. */
+	update(sharing: ReadonlySet<string>): void {
+		const nowMs = this.timers.nowMs();
+		const elapsedMs = Math.max(1, nowMs - this.#sampledMs);
 		this.#sampledMs = nowMs;
+		for (const entry of this.#entries.values()) {
+			const measuredPerS = entry.count * 1000 / elapsedMs;
+			entry.count = 0;
+			entry.askedPerS += (measuredPerS - entry.askedPerS) * demandWeight;
+			entry.bucket.update(sharing.size, sharing, nowMs);
+			if (nowMs - this.#startedMs > estimateWaitMs) {
+				entry.bucket.settleEstimate();
+			}
+		}
 	}
 
-	/** Takes a token for a request; returns 0, or the time after which the caller should come back, in milliseconds. */
+	/** Passes a request; returns 0, or the time after which the caller should come back, in milliseconds. */
 	take(workspace: string): number {
-		const bucket = this.#buckets.get(workspace);
-		if (bucket === undefined || bucket.ratePerS === 0) {
-			return 0;
-		}
-
-		bucket.demand.add(1);
-		this.#accrue(bucket);
-		if (bucket.tokens >= 1) {
-			bucket.tokens--;
+		const entry = this.#entries.get(workspace);
+		if (entry === undefined || entry.limits.ratePerS === 0) {
 			return 0;
 		}
 
-		return Math.max(minRetryMs, (1 - bucket.tokens) * 1000 / Math.max(bucket.partPerS, 1));
+		entry.count++;
+		const waitMs = entry.bucket.take(entry.askedPerS, this.timers.nowMs());
+		return waitMs === 0 ? 0 : Math.min(maxRetryMs, Math.max(minRetryMs, waitMs));
 	}
 
-	/** What a refusal was decided by, for its decision line. */
-	explain(workspace: string): Readonly<Record<string, number>> {
-		const bucket = this.#buckets.get(workspace);
-		return bucket === undefined
-			? {}
-			: {
-				limitPerS: bucket.ratePerS, partPerS: round(bucket.partPerS), capacity: round(bucket.capacity), demandPerS: round(bucket.demand.ratePerS), members: this.#peers.members,
-			};
-	}
-
-	/** Returns the token of a request that was not run. */
+	/** Takes back a request that was passed and did not run. */
 	giveBack(workspace: string): void {
-		const bucket = this.#buckets.get(workspace);
-		if (bucket !== undefined && bucket.ratePerS > 0) {
-			bucket.tokens = Math.min(bucket.capacity, bucket.tokens + 1);
+		const entry = this.#entries.get(workspace);
+		if (entry !== undefined && entry.limits.ratePerS > 0) {
+			entry.bucket.giveBack();
 		}
 	}
 
-	/** Demand by workspace, for peers. */
-	demands(): Demands {
-		return Object.fromEntries([...this.#buckets].filter(([, {demand}]) => demand.ratePerS > 0).map(([name, {demand}]) => [name, demand.ratePerS]));
+	/** What a refusal was decided by, for its decision line. */
+	explain(workspace: string): Readonly<Record<string, number | undefined>> {
+		const entry = this.#entries.get(workspace);
+		if (entry === undefined) {
+			return {};
+		}
+
+		const {passed, tokens} = entry.bucket.report(entry.askedPerS);
+		return {
+			limitPerS: entry.limits.ratePerS, askedPerS: round(entry.askedPerS), tokens: tokens === undefined ? undefined : round(tokens), allowance: round(entry.bucket.allowance(entry.askedPerS)), passed,
+		};
 	}
 
-	#divide(name: string, bucket: Bucket): void {
-		this.#accrue(bucket);
-		const {ratePerS, burst, recent} = bucket;
-		const othersPerS = this.#peers.demands.reduce((sum, demands) => sum + (demands[name] ?? 0), 0);
-		bucket.partPerS = ratePerS === 0
-			? 0
-			: divideRate({
-				ratePerS, ownPerS: recent.length < settledSamples ? 0 : Math.min(...recent), othersPerS, members: this.#peers.members,
-			});
-		bucket.capacity = ratePerS === 0 ? 0 : Math.max(1, (burst * burstPart * bucket.partPerS / ratePerS) + (this.slackCount() * slackPart / this.#peers.members));
-		bucket.tokens = Math.min(bucket.capacity, bucket.tokens);
+	/** Reports for peers, of workspaces with a limit that this VM was asked for. */
+	reports(): BucketReports {
+		return Object.fromEntries([...this.#entries]
+			.filter(([, {limits, bucket, askedPerS}]) => limits.ratePerS > 0 && bucket.report(askedPerS).passed + askedPerS > 0)
+			.map(([name, {bucket, askedPerS}]) => [name, bucket.report(askedPerS)]));
 	}
 
-	#accrue(bucket: Bucket): void {
-		const nowMs = this.timers.nowMs();
-		bucket.tokens = Math.min(bucket.capacity, bucket.tokens + ((nowMs - bucket.updatedMs) * bucket.partPerS / 1000));
-		bucket.updatedMs = nowMs;
+	#limitsOf(ratePerS: number, burst: number) {
+		const {overshoot, slackCount, windowMs} = this.tolerance();
+		return {ratePerS, burst, toleranceCount: (((ratePerS * windowMs / 1000) + burst) * overshoot) + slackCount};
 	}
 }
 
--- a/packages/gateway/src/peers/heartbeat.test.ts
+++ b/packages/gateway/src/peers/heartbeat.test.ts
@@ -13,7 +13,7 @@
 	revisions: {
 		[Collection.configurations]: {valid: 9, changed: 4}, [Collection.backends]: {valid: 9, changed: 9}, [Collection.evacuations]: {valid: -1, changed: -1},
 	},
-	demands: {acme: 12},
+	buckets: {acme: {passed: 812, askedPerS: 12.5, tokens: 30}, other: {passed: 0, askedPerS: 1, tokens: undefined}},
 	work: {stock: 3.5},
 };
 
--- a/packages/gateway/src/peers/heartbeat.ts
+++ b/packages/gateway/src/peers/heartbeat.ts
@@ -1,13 +1,11 @@
 import {type Buffer} from 'node:buffer';
 import {decode, encode} from 'cbor-x';
 import {Collection} from '@fescuewick/store';
+import {type BucketReports} from '../limits/workspace-limiter.js';
 import {type VmRecord} from '../model/records.js';
 import {type WorkBySlots} from '../placement/work-meter.js';
 import {type ReplicaRevisions} from '../state/replica.js';
 
-/** Requests per second that a VM's callers ask for, by workspace. */
-export type Demands = Readonly<Record<string, number>>;
-
 /** What a VM tells its peers at short intervals. */
 export type Heartbeat = {
 	readonly record: VmRecord;
@@ -18,7 +16,8 @@
 	/** Whether callers may be sent to the VM. */
 	readonly isReady: boolean;
 	readonly revisions: Readonly<Record<string, ReplicaRevisions>>;
-	readonly demands: Demands;
+	/** What it passed for each workspace with a limit. */
+	readonly buckets: BucketReports;
 	/** Slots that its callers' requests need, by service. */
 	readonly work: WorkBySlots;
 };
@@ -27,14 +26,14 @@
 const relayed = [Collection.configurations, Collection.backends, Collection.evacuations] as const;
 const formatVersion = 1;
 const fieldCount = 8;
-/** Work travels in tenths of a slot. */
-const workScale = 10;
+/** Rates and work travel in tenths. */
+const scale = 10;
 
-/** Names and numbers in turn. */
-type FlatPairs = ReadonlyArray<string | number>;
+/** Names and numbers in turn; maps would repeat the field names. */
+type FlatEntries = ReadonlyArray<string | number | null>;
 
 /** Encodes a heartbeat as one datagram; fields travel by position, because their names were most of the bytes. */
-export function encodeHeartbeat({record, incarnation, sequence, isReady, revisions, demands, work}: Heartbeat): Buffer {
+export function encodeHeartbeat({record, incarnation, sequence, isReady, revisions, buckets, work}: Heartbeat): Buffer {
 	const positions = relayed.flatMap(collection => [revisions[collection].valid, revisions[collection].changed]);
 	return encode([
 		formatVersion,
@@ -43,8 +42,8 @@
 		isReady,
 		positions,
 		[record.vm, record.failureDomain, record.region, record.entryAddress, record.peerAddress, record.heartbeatAddress],
-		Object.entries(demands).flatMap(([workspace, ratePerS]) => [workspace, Math.ceil(ratePerS)]),
-		Object.entries(work).flatMap(([service, slots]) => [service, Math.round(slots * workScale)]),
+		Object.entries(buckets).flatMap(([workspace, {passed, askedPerS, tokens}]) => [workspace, passed, Math.round(askedPerS * scale), tokens === undefined ? null : Math.round(tokens)]),
+		Object.entries(work).flatMap(([service, slots]) => [service, Math.round(slots * scale)]),
 	]);
 }
 
@@ -61,8 +60,8 @@
 		return undefined;
 	}
 
-	const [, incarnation, sequence, isReady, positions, place, demands, work] = fields as [number, number, number, boolean, number[], string[], FlatPairs, FlatPairs];
-	if (typeof incarnation !== 'number' || !Array.isArray(positions) || !Array.isArray(place) || place.length !== 6 || !Array.isArray(demands) || !Array.isArray(work)) {
+	const [, incarnation, sequence, isReady, positions, place, buckets, work] = fields as [number, number, number, boolean, number[], string[], FlatEntries, FlatEntries];
+	if (typeof incarnation !== 'number' || !Array.isArray(positions) || !Array.isArray(place) || place.length !== 6 || !Array.isArray(buckets) || !Array.isArray(work)) {
 		return undefined;
 	}
 
@@ -74,13 +73,11 @@
 		sequence,
 		isReady,
 		revisions: Object.fromEntries(relayed.map((collection, index) => [collection, {valid: positions[index * 2], changed: positions[(index * 2) + 1]}])),
-		demands: Object.fromEntries(pairs(demands)),
-		work: Object.fromEntries([...pairs(work)].map(([service, scaled]) => [service, scaled / workScale])),
+		buckets: Object.fromEntries(groups(buckets, 4).map(([workspace, passed, askedPerS, tokens]) => [String(workspace), {passed: Number(passed), askedPerS: Number(askedPerS) / scale, tokens: tokens === null ? undefined : Number(tokens)}])),
+		work: Object.fromEntries(groups(work, 2).map(([service, slots]) => [String(service), Number(slots) / scale])),
 	};
 }
 
-function * pairs(flat: FlatPairs): Generator<[string, number]> {
-	for (let index = 0; index + 1 < flat.length; index += 2) {
-		yield [String(flat[index]), Number(flat[index + 1])];
-	}
+function groups(flat: FlatEntries, length: number): FlatEntries[] {
+	return Array.from({length: Math.floor(flat.length / length)}, (_, index) => flat.slice(index * length, (index + 1) * length));
 }
--- a/packages/gateway/src/peers/peer-table.ts
+++ b/packages/gateway/src/peers/peer-table.ts
@@ -1,6 +1,6 @@
 import {type Logger, type TimerService} from '@fescuewick/core';
 import {type VmRecord} from '../model/records.js';
-import {type Demands, type Heartbeat} from './heartbeat.js';
+import {type Heartbeat} from './heartbeat.js';
 
 /** A VM that was silent for longer is not named to callers, in milliseconds; two heartbeats of the slower interval and a half. */
 const aliveMs = 2500;
@@ -91,14 +91,14 @@
 	}
 
 	/** VMs that hold a part of shared limits: this one, live peers, and peers that may be cut off and still serving. */
-	* sharing(): Generator<{readonly record: VmRecord; readonly demands: Demands}> {
-		yield {record: this.self, demands: {}};
+	* sharing(): Generator<VmRecord> {
+		yield this.self;
 		const nowMs = this.options.timers.nowMs();
 		// Without any live peer, this VM itself is likely to be the one that is cut off.
 		const isCutOff = [...this.alive()].length === 0;
-		for (const {record, heartbeat, heardAtMs} of this.#peers.values()) {
+		for (const {record, heardAtMs} of this.#peers.values()) {
 			if (isCutOff || nowMs - heardAtMs <= reservedMs) {
-				yield {record, demands: heartbeat?.demands ?? {}};
+				yield record;
 			}
 		}
 	}
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -37,8 +37,10 @@
 		/** How far cold servers' stated rate may be exceeded: factor and count. */
 		coldOvershoot: ratio,
 		coldSlack: ratio,
-		/** Requests of a workspace that may exceed its rate and burst, over all VMs. */
+		/** By how much all VMs together may exceed a workspace's rate and burst: part, count, and the window in milliseconds. */
+		rateOvershoot: ratio,
 		rateSlack: ratio,
+		rateWindowMs: z.number().positive(),
 		/** Largest part of a region's requests that may move between two windows. */
 		shiftMost: ratio,
 	}),
