--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -7,7 +7,7 @@
 import {type FleetState} from '../state/fleet-state.js';
 import {Backend, HealthEvent} from './backend.js';
 import {chooseBackend, type Candidate, type ChoiceReason} from './choose-backend.js';
-import {regionParts, type RegionLoad} from './region-demand.js';
+import {assumeWork, regionParts, type RegionLoad} from './region-demand.js';
 import {RegionSpill} from './region-spill.js';
 import {RegionSteering} from './region-steering.js';
 import {type WorkBySlots} from './work-meter.js';
@@ -126,7 +126,7 @@
 				loads.set(backend.region, {...load, slots: load.slots + backend.slots});
 			}
 
-			this.#steeringOf(service).update(regionParts(region, loads), maxStep);
+			this.#steeringOf(service).update(regionParts(region, assumeWork(loads)), maxStep);
 		}
 	}
 
--- a/packages/gateway/src/placement/region-demand.ts
+++ b/packages/gateway/src/placement/region-demand.ts
@@ -7,10 +7,29 @@
 };
 
 /** Part of the slots of a region up to which its own callers use them before any leave; the rest absorbs short peaks. */
-const localPart = 0.7;
+const localPart = 0.6;
 /** Part of the slots of a region up to which callers of other regions are taken in. */
 const guestPart = 0.8;
 
+/** Work that is assumed before any was measured, as a part of all slots. */
+const assumedPart = 0.5;
+/** Work under which none counts as measured, in slots. */
+const minMeasuredSlots = 1;
+
+/** The loads with an even share of assumed work in each region, if no work was measured yet; else the loads themselves. */
+export function assumeWork(regions: ReadonlyMap<string, RegionLoad>): ReadonlyMap<string, RegionLoad> {
+	let demandSlots = 0;
+	let slots = 0;
+	for (const region of regions.values()) {
+		demandSlots += region.demandSlots;
+		slots += region.slots;
+	}
+
+	return demandSlots >= minMeasuredSlots
+		? regions
+		: new Map([...regions].map(([name, region]) => [name, {...region, demandSlots: slots * assumedPart / regions.size}]));
+}
+
 /**
 Part of a region's requests, 0 to 1, that should run in each other region.
 
