--- a/packages/gateway/src/forward/request-run.ts
+++ b/packages/gateway/src/forward/request-run.ts
@@ -146,7 +146,7 @@
 		const waitMs = admittedWaitMs({
 			ahead: line.ahead(this.priority),
 			slots: placer.slotsInRegion(service),
-			serviceMs: latency.expectedMs(service, route.targetMs / 2),
+			serviceMs: latency.typicalMs(service, route.targetMs / 2),
 			expectedMs: this.#expectedMs,
 			targetMs: Math.max(0, route.targetMs - (timers.nowMs() - this.arrivedAtMs)),
 			timeLeftMs: this.#timeLeftMs,
@@ -331,8 +331,9 @@
 		const isFailure = head.status >= 500;
 		if (!isFailure && durationMs > minMeasuredMs) {
 			const usualMs = this.#expectedMs;
-			latency.add(route.name, durationMs, route.targetMs / 2);
-			latency.add(service, durationMs, route.targetMs / 2);
+			latency.add({
+				route: route.name, service, durationMs, initialMs: route.targetMs / 2,
+			});
 			backend.outcome(false, durationMs / usualMs, nowMs);
 		} else {
 			backend.outcome(isFailure, undefined, nowMs);
@@ -361,7 +362,11 @@
 		if (answer.isMisdirected) {
 			this.context.placer.misdirected(backend);
 		} else {
-			backend.shed(nowMs);
+			// A server that rejects requests with slots free is faulty rather than full.
+			if (answer.load === undefined || answer.load.running >= backend.slots) {
+				backend.shed(nowMs);
+			}
+
 			backend.outcome(true, undefined, nowMs);
 		}
 
--- a/packages/gateway/src/forward/route-latency.ts
+++ b/packages/gateway/src/forward/route-latency.ts
@@ -1,17 +1,30 @@
 /** Weight of a new measurement. */
 const weight = 0.1;
+/** Part of the requests that are shorter than the typical duration; low, so that waits at servers and objects that a server does not remember count little. */
+const typicalQuantile = 0.4;
+/** Largest change of the typical duration by one measurement, as a part of it. */
+const typicalStep = 0.08;
 
-/** Usual duration of requests by route, and by service, in milliseconds. */
+/** Durations of requests by route, and what they occupy a slot for by service, in milliseconds. */
 export class RouteLatency {
-	readonly #byName = new Map<string, number>();
+	readonly #routes = new Map<string, number>();
+	readonly #services = new Map<string, number>();
 
-	/** The usual duration, or `initialMs` before the first measurement. */
-	expectedMs(name: string, initialMs: number): number {
-		return this.#byName.get(name) ?? initialMs;
+	/** The mean duration of a route, or `initialMs` before the first measurement. */
+	expectedMs(route: string, initialMs: number): number {
+		return this.#routes.get(route) ?? initialMs;
 	}
 
-	add(name: string, durationMs: number, initialMs: number): void {
-		const before = this.expectedMs(name, initialMs);
-		this.#byName.set(name, before + ((durationMs - before) * weight));
+	/** The typical duration of a service's requests without waits, or `initialMs` before the first measurement. */
+	typicalMs(service: string, initialMs: number): number {
+		return this.#services.get(service) ?? initialMs;
+	}
+
+	add({route, service, durationMs, initialMs}: {readonly route: string; readonly service: string; readonly durationMs: number; readonly initialMs: number}): void {
+		const mean = this.expectedMs(route, initialMs);
+		this.#routes.set(route, mean + ((durationMs - mean) * weight));
+		// Moves towards the quantile, whatever the distribution of the rest.
+		const typical = this.typicalMs(service, initialMs);
+		this.#services.set(service, typical * (durationMs > typical ? 1 + (typicalStep * typicalQuantile) : 1 - (typicalStep * (1 - typicalQuantile))));
 	}
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,7 +17,7 @@
 import {type Heartbeat} from './peers/heartbeat.js';
 import {PeerClient} from './peers/peer-client.js';
 import {PeerTable} from './peers/peer-table.js';
-import {Placer} from './placement/placer.js';
+import {Placer, type MovedParts} from './placement/placer.js';
 import {Prober} from './placement/prober.js';
 import {WorkMeter, type WorkBySlots} from './placement/work-meter.js';
 import {applyLimits, createFrontServer, stopFrontServer} from './server/front-server.js';
@@ -192,7 +192,7 @@
 			}),
 			timers.repeat(steeringIntervalMs, () => {
 				this.#work.sample(steeringIntervalMs);
-				this.#placer.steer(this.#workByRegion(), steeringIntervalMs);
+				this.#placer.steer(this.#workByRegion(), steeringIntervalMs, this.#partsOfRegion());
 			}),
 			timers.after(seedDelayMs, () => {
 				void this.#askSeeds();
@@ -244,6 +244,17 @@
 		logger.info({event: 'stopped'}, 'gateway stopped');
 	}
 
+	/** Moved parts of another VM of this region, which a VM that has just started takes over. */
+	#partsOfRegion(): MovedParts | undefined {
+		for (const {record, movedParts} of this.#peers.alive()) {
+			if (record.region === this.#self.region && Object.keys(movedParts).length > 0) {
+				return movedParts;
+			}
+		}
+
+		return undefined;
+	}
+
 	#describe(): Omit<Heartbeat, 'sequence'> {
 		return {
 			record: this.#self,
@@ -252,12 +263,13 @@
 			revisions: Object.fromEntries(followed.map(collection => [collection, this.#state.replicas[collection].revisions])),
 			buckets: this.#limiter.reports(),
 			work: this.#ownWork(),
+			movedParts: this.#placer.movedParts(),
 		};
 	}
 
 	/** Slots needed by this VM's callers, by service. */
 	#ownWork(): WorkBySlots {
-		return this.#work.slots(service => this.#latency.expectedMs(service, initialDurationMs));
+		return this.#work.slots(service => this.#latency.typicalMs(service, initialDurationMs));
 	}
 
 	/** Slots needed by the callers of each region, by service. */
--- a/packages/gateway/src/limits/workspace-limiter.test.ts
+++ b/packages/gateway/src/limits/workspace-limiter.test.ts
@@ -68,7 +68,7 @@
 			if ((nowMs + (vm * stepMs)) % intervalMs === 0 && !isCut(vm)) {
 				onTheWay.push({
 					atMs: nowMs + delayMs, from: vm, heartbeat: {
-						record: vmRecord(names[vm], 'north-1'), incarnation, sequence: nowMs, isReady: true, revisions: {}, buckets: limiter.reports(), work: {},
+						record: vmRecord(names[vm], 'north-1'), incarnation, sequence: nowMs, isReady: true, revisions: {}, buckets: limiter.reports(), work: {}, movedParts: {},
 					},
 				});
 			}
--- a/packages/gateway/src/peers/heartbeat.ts
+++ b/packages/gateway/src/peers/heartbeat.ts
@@ -3,6 +3,7 @@
 import {Collection} from '@fescuewick/store';
 import {type BucketReports} from '../limits/workspace-limiter.js';
 import {type VmRecord} from '../model/records.js';
+import {type MovedParts} from '../placement/placer.js';
 import {type WorkBySlots} from '../placement/work-meter.js';
 import {type ReplicaRevisions} from '../state/replica.js';
 
@@ -20,20 +21,23 @@
 	readonly buckets: BucketReports;
 	/** Slots that its callers' requests need, by service. */
 	readonly work: WorkBySlots;
+	/** Parts of its callers' requests that run in other regions, by service and region. */
+	readonly movedParts: MovedParts;
 };
 
 /** Collections in the order in which their revisions travel. */
 const relayed = [Collection.configurations, Collection.backends, Collection.evacuations] as const;
 const formatVersion = 1;
-const fieldCount = 8;
-/** Rates and work travel in tenths. */
+const fieldCount = 9;
+/** Rates and work travel in tenths, parts in hundredths. */
 const scale = 10;
+const partScale = 100;
 
 /** Names and numbers in turn; maps would repeat the field names. */
 type FlatEntries = ReadonlyArray<string | number | null>;
 
 /** Encodes a heartbeat as one datagram; fields travel by position, because their names were most of the bytes. */
-export function encodeHeartbeat({record, incarnation, sequence, isReady, revisions, buckets, work}: Heartbeat): Buffer {
+export function encodeHeartbeat({record, incarnation, sequence, isReady, revisions, buckets, work, movedParts}: Heartbeat): Buffer {
 	const positions = relayed.flatMap(collection => [revisions[collection].valid, revisions[collection].changed]);
 	return encode([
 		formatVersion,
@@ -44,6 +48,7 @@
 		[record.vm, record.failureDomain, record.region, record.entryAddress, record.peerAddress, record.heartbeatAddress],
 		Object.entries(buckets).flatMap(([workspace, {passed, askedPerS, tokens}]) => [workspace, passed, Math.round(askedPerS * scale), tokens === undefined ? null : Math.round(tokens)]),
 		Object.entries(work).flatMap(([service, slots]) => [service, Math.round(slots * scale)]),
+		Object.entries(movedParts).flatMap(([service, parts]) => Object.entries(parts).flatMap(([region, part]) => [service, region, Math.round(part * partScale)])),
 	]);
 }
 
@@ -60,8 +65,8 @@
 		return undefined;
 	}
 
-	const [, incarnation, sequence, isReady, positions, place, buckets, work] = fields as [number, number, number, boolean, number[], string[], FlatEntries, FlatEntries];
-	if (typeof incarnation !== 'number' || !Array.isArray(positions) || !Array.isArray(place) || place.length !== 6 || !Array.isArray(buckets) || !Array.isArray(work)) {
+	const [, incarnation, sequence, isReady, positions, place, buckets, work, moved] = fields as [number, number, number, boolean, number[], string[], FlatEntries, FlatEntries, FlatEntries];
+	if (typeof incarnation !== 'number' || !Array.isArray(positions) || !Array.isArray(place) || place.length !== 6 || !Array.isArray(buckets) || !Array.isArray(work) || !Array.isArray(moved)) {
 		return undefined;
 	}
 
@@ -75,9 +80,19 @@
 		revisions: Object.fromEntries(relayed.map((collection, index) => [collection, {valid: positions[index * 2], changed: positions[(index * 2) + 1]}])),
 		buckets: Object.fromEntries(groups(buckets, 4).map(([workspace, passed, askedPerS, tokens]) => [String(workspace), {passed: Number(passed), askedPerS: Number(askedPerS) / scale, tokens: tokens === null ? undefined : Number(tokens)}])),
 		work: Object.fromEntries(groups(work, 2).map(([service, slots]) => [String(service), Number(slots) / scale])),
+		movedParts: readParts(moved),
 	};
 }
 
+function readParts(flat: FlatEntries): MovedParts {
+	const movedParts: Record<string, Record<string, number>> = {};
+	for (const [service, region, part] of groups(flat, 3)) {
+		movedParts[String(service)] = {...movedParts[String(service)], [String(region)]: Number(part) / partScale};
+	}
+
+	return movedParts;
+}
+
 function groups(flat: FlatEntries, length: number): FlatEntries[] {
 	return Array.from({length: Math.floor(flat.length / length)}, (_, index) => flat.slice(index * length, (index + 1) * length));
 }
--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -18,6 +18,10 @@
 const maxOrders = 4096;
 /** Window over which moves between regions are limited, in milliseconds. */
 const shiftWindowMs = 2000;
+/** Time after its start in which a VM takes over parts without a limit, in milliseconds; the first demand is measured and peers are heard by then. */
+const youngMs = 3000;
+/** Smallest change of the moved part that is logged. */
+const loggedStep = 0.05;
 /** Part of the limit of moves between regions that planned shifts use within a window. */
 const steeringPart = 0.5;
 /** Part of that limit that requests without room in their region use. */
@@ -44,6 +48,9 @@
 	readonly excluded: ReadonlySet<string>;
 };
 
+/** Parts of requests that run in other regions, by service and region. */
+export type MovedParts = Readonly<Record<string, Readonly<Record<string, number>>>>;
+
 /** Where a request is to run. */
 export type Placement = {readonly backend: Backend; readonly reason: ChoiceReason; readonly load: number; readonly isRemote: boolean};
 
@@ -87,9 +94,12 @@
 	readonly #byService = new Map<string, Backend[]>();
 	readonly #orders = new Map<string, string[]>();
 	readonly #spills = new Map<string, RegionSpill>();
+	readonly #startedAtMs: number;
+	readonly #loggedParts = new Map<string, number>();
 	readonly #steerings = new Map<string, RegionSteering>();
 
 	constructor(private readonly options: PlacerOptions) {
+		this.#startedAtMs = options.timers.nowMs();
 		options.state.events.on('backends', () => {
 			this.#update();
 		});
@@ -116,8 +126,9 @@
 	}
 
 	/** Adapts the parts of requests that run in other regions to the work of all regions' callers. */
-	steer(work: ReadonlyMap<string, WorkBySlots>, elapsedMs: number): void {
-		const {region, bounds} = this.options;
+	steer(work: ReadonlyMap<string, WorkBySlots>, elapsedMs: number, partsOfRegion: MovedParts | undefined): void {
+		const {region, bounds, timers} = this.options;
+		const isYoung = timers.nowMs() - this.#startedAtMs < youngMs;
 		const maxStep = bounds().shiftMost * steeringPart * elapsedMs / shiftWindowMs;
 		for (const service of this.#byService.keys()) {
 			const loads = new Map<string, RegionLoad>();
@@ -126,8 +137,36 @@
 				loads.set(backend.region, {...load, slots: load.slots + backend.slots});
 			}
 
-			this.#steeringOf(service).update(regionParts(region, assumeWork(loads)), maxStep);
+			const steering = this.#steeringOf(service);
+			const targets = regionParts(region, assumeWork(loads));
+			if (isYoung) {
+				// A VM without a past does what its region does; if no VM of the region has one, there is nothing to shift from.
+				steering.update(partsOfRegion === undefined ? targets : new Map(Object.entries(partsOfRegion[service] ?? {})), 1);
+			} else {
+				steering.update(targets, maxStep);
+			}
+
+			this.#logSteering(service, steering, targets, loads);
+		}
+	}
+
+	/** Present parts that run in other regions, by service. */
+	movedParts(): MovedParts {
+		return Object.fromEntries([...this.#steerings].map(([service, {parts}]): [string, Record<string, number>] => [service, Object.fromEntries(parts)]).filter(([, parts]) => Object.keys(parts).length > 0));
+	}
+
+	/** One line for each noticeable change of the parts of requests that leave the region. */
+	#logSteering(service: string, steering: RegionSteering, targets: ReadonlyMap<string, number>, loads: ReadonlyMap<string, RegionLoad>): void {
+		const movedPart = Math.round(steering.movedPart * 100) / 100;
+		if (Math.abs(movedPart - (this.#loggedParts.get(service) ?? 0)) < loggedStep) {
+			return;
 		}
+
+		this.#loggedParts.set(service, movedPart);
+		this.options.logger.info({
+			event: 'steering', service, movedPart, targets: Object.fromEntries([...targets].map(([name, part]) => [name, Math.round(part * 100) / 100])),
+			loads: Object.fromEntries([...loads].map(([name, {demandSlots, slots}]) => [name, [Math.round(demandSlots * 10) / 10, slots]])),
+		}, 'the part of requests that leaves the region changed');
 	}
 
 	/** Chooses the server for a request; the caller sends it at once. */
--- a/packages/gateway/src/placement/region-steering.ts
+++ b/packages/gateway/src/placement/region-steering.ts
@@ -22,6 +22,11 @@
 		return sum;
 	}
 
+	/** Present parts of other regions. */
+	get parts(): ReadonlyMap<string, number> {
+		return this.#parts;
+	}
+
 	/** Moves the parts towards `targets`; `maxStep` is the largest total change. */
 	update(targets: ReadonlyMap<string, number>, maxStep: number): void {
 		const names = new Set([...this.#parts.keys(), ...targets.keys()]);
--- a/packages/gateway/src/server/front-server.ts
+++ b/packages/gateway/src/server/front-server.ts
@@ -15,7 +15,7 @@
 /** From SIGTERM until the VM stops to listen, in milliseconds; callers with an old directory answer get a refusal that says when to come back, instead of a closed port. */
 const listenMs = 4300;
 /** Part of the grace time after which requests still in progress are given up. */
-const gracePart = 0.95;
+const gracePart = 0.9;
 /** How often a stopping server looks whether it may end, in milliseconds. */
 const idleCheckMs = 50;
 
