--- a/packages/core/src/run-daemon.ts
+++ b/packages/core/src/run-daemon.ts
@@ -32,6 +32,8 @@
 
 /** Reads the settings file named on the command line, runs the daemon until SIGTERM or SIGINT, and exits 0 after a graceful stop. */
 export async function runDaemon<Schema extends z.ZodType>(definition: DaemonDefinition<Schema>): Promise<void> {
+	// Without any listener a SIGHUP would end the process during its start and its graceful stop.
+	process.on('SIGHUP', ignoreSignal);
 	const option = new Option('--settings <file>', 'YAML settings file').makeOptionMandatory();
 	if (definition.settingsVariable !== undefined) {
 		option.env(definition.settingsVariable);
@@ -96,10 +98,15 @@
 	return statSync(file, {throwIfNoEntry: false})?.mtimeMs;
 }
 
+function ignoreSignal(): void {
+	// What is under way goes on.
+}
+
+/** Resolves at the first signal to stop; later ones change nothing, so that they do not cut the stop short. */
 async function stopSignal(): Promise<void> {
 	await new Promise<void>(resolve => {
 		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-			process.once(signal, () => {
+			process.on(signal, () => {
 				resolve();
 			});
 		}
