--- a/scripts/check-pages.js
+++ b/scripts/check-pages.js
@@ -6,7 +6,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createInterface} from 'node:readline';
 
-const pages = process.argv.length > 2 ? process.argv.slice(2) : ['README.md', 'docs/operations.md'];
+const pages = process.argv.length > 2 ? process.argv.slice(2) : ['README.md', 'docs/OPERATIONS.md'];
 const blockPattern = /^```(?<kind>sh run|text expect)\n(?<text>.*?)^```$/gms;
 
 async function startLocal() {
