--- a/packages/gateway/src/forward/request-run.test.ts
+++ b/packages/gateway/src/forward/request-run.test.ts
@@ -2,13 +2,14 @@
 import test from 'ava';
 import {ManualTimerService} from '@fescuewick/core';
 import {noBody, type BackendConnection, type ConnectionSet} from '@fescuewick/entry/http';
+import {WaitingLines} from '../admission/waiting-lines.js';
 import {WorkspaceLimiter} from '../limits/workspace-limiter.js';
 import {Backend} from '../placement/backend.js';
 import {ChoiceReason} from '../placement/choose-backend.js';
 import {NoPlacement, type Placer} from '../placement/placer.js';
 import {WorkMeter} from '../placement/work-meter.js';
 import {backendRecord, route, TestDialect} from '../testing/fixtures.js';
-import {RetryBudgets, WaitingLines, type ForwardingContext} from './forwarding-context.js';
+import {RetryBudgets, type ForwardingContext} from './forwarding-context.js';
 import {RequestRun, type AdmittedRequest} from './request-run.js';
 import {RouteLatency} from './route-latency.js';
 
--- a/packages/gateway/src/forward/request-run.ts
+++ b/packages/gateway/src/forward/request-run.ts
@@ -7,7 +7,7 @@
 	answerHeaders, Attempt, ConnectionEnd, forwardHeaders, type AnswerHead, type RequestBody,
 } from '@fescuewick/entry/http';
 import {admittedWaitMs, retryAfterMs} from '../admission/admission.js';
-import {type Waiting} from '../admission/waiting-line.js';
+import {type ActiveRequest} from '../admission/waiting-lines.js';
 import {type Route, type Workspace} from '../model/configuration.js';
 import {type Backend} from '../placement/backend.js';
 import {homesOf, NoPlacement, type Placement} from '../placement/placer.js';
@@ -47,7 +47,7 @@
 type Sending = {readonly attempt: Attempt; readonly backend: Backend; readonly sentAtMs: number; chunks: Buffer[]; sizeBytes: number; isStreaming: boolean};
 
 /** Leads one request to its answer: waits for a slot, sends it, sends it again where that is safe, and answers once. */
-export class RequestRun implements Waiting {
+export class RequestRun implements ActiveRequest {
 	readonly priority: number;
 	readonly #excluded = new Set<string>();
 	readonly #sendings = new Set<Sending>();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,10 +4,9 @@
 	Metrics, ResultCode, toFescuewickError, type Cancel, type Logger, type TimerService,
 } from '@fescuewick/core';
 import {Collection, type CollectionStore} from '@fescuewick/store';
+import {WaitingLines} from './admission/waiting-lines.js';
 import {entryAddressesFor} from './directory/entry-directory.js';
-import {
-	RetryBudgets, WaitingLines, type ForwardingContext, type RequestSummary,
-} from './forward/forwarding-context.js';
+import {RetryBudgets, type ForwardingContext, type RequestSummary} from './forward/forwarding-context.js';
 import {type HeaderDialect} from './forward/header-dialect.js';
 import {RouteLatency} from './forward/route-latency.js';
 import {measureIntervalMs, WorkspaceLimiter} from './limits/workspace-limiter.js';
@@ -114,7 +113,7 @@
 			describe: () => this.#describe(),
 			onHeartbeat: heartbeat => {
 				this.#catchUp.onHeartbeat(heartbeat);
-				this.#limiter.hear(heartbeat);
+				this.#limiter.hear(heartbeat.record.vm, heartbeat.incarnation, heartbeat.buckets);
 			},
 		});
 		this.#followers = Object.fromEntries(followed.map(collection => [collection, new StoreFollower({
--- a/packages/gateway/src/limits/fleet-bucket.ts
+++ b/packages/gateway/src/limits/fleet-bucket.ts
@@ -16,6 +16,9 @@
 	readonly tokens: number | undefined;
 };
 
+/** Reports by workspace, as they travel in heartbeats. */
+export type BucketReports = Readonly<Record<string, BucketReport>>;
+
 /** Time after which all peers know of a request that was passed, in milliseconds: the slower heartbeat interval, with margin for a late timer and the way. */
 export const settledMs = 1250;
 /** A peer that was silent for longer is taken to pass its part of the rate, in milliseconds. */
--- a/packages/gateway/src/limits/workspace-limiter.test.ts
+++ b/packages/gateway/src/limits/workspace-limiter.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {ManualTimerService} from '@fescuewick/core';
-import {vmRecord, workspace} from '../testing/fixtures.js';
-import {type Heartbeat} from '../peers/heartbeat.js';
+import {workspace} from '../testing/fixtures.js';
+import {type BucketReports} from './fleet-bucket.js';
 import {measureIntervalMs, WorkspaceLimiter} from './workspace-limiter.js';
 
 /** The platform's bound: requests in a window of this length, in milliseconds, may exceed rate and burst by a tenth and a count. */
@@ -42,7 +42,7 @@
 	};
 
 	const vms = names.map(() => start());
-	const onTheWay: Array<{atMs: number; from: number; heartbeat: Heartbeat}> = [];
+	const onTheWay: Array<{atMs: number; from: number; incarnation: number; buckets: BucketReports}> = [];
 	const heardAtMs = names.map(() => names.map(() => 0));
 	const owed = names.map(() => 0);
 	const passed: number[] = [];
@@ -67,18 +67,16 @@
 			// Heartbeats of VMs are spread over the interval.
 			if ((nowMs + (vm * stepMs)) % intervalMs === 0 && !isCut(vm)) {
 				onTheWay.push({
-					atMs: nowMs + delayMs, from: vm, heartbeat: {
-						record: vmRecord(names[vm], 'north-1'), incarnation, sequence: nowMs, isReady: true, revisions: {}, buckets: limiter.reports(), work: {}, movedParts: {},
-					},
+					atMs: nowMs + delayMs, from: vm, incarnation, buckets: limiter.reports(),
 				});
 			}
 		}
 
 		while (onTheWay.length > 0 && onTheWay[0].atMs <= nowMs) {
-			const {from, heartbeat} = onTheWay.shift()!;
+			const {from, incarnation, buckets} = onTheWay.shift()!;
 			for (const [vm, {limiter}] of vms.entries()) {
 				if (vm !== from && !isCut(vm) && !isCut(from)) {
-					limiter.hear(heartbeat);
+					limiter.hear(names[from], incarnation, buckets);
 					heardAtMs[vm][from] = nowMs;
 				}
 			}
--- a/packages/gateway/src/limits/workspace-limiter.ts
+++ b/packages/gateway/src/limits/workspace-limiter.ts
@@ -1,7 +1,6 @@
 import {type TimerService} from '@fescuewick/core';
 import {type Workspace} from '../model/configuration.js';
-import {type Heartbeat} from '../peers/heartbeat.js';
-import {FleetBucket, type BucketReport} from './fleet-bucket.js';
+import {FleetBucket, type BucketReports} from './fleet-bucket.js';
 
 /** Interval at which demand is measured, in milliseconds; half a heartbeat. */
 export const measureIntervalMs = 250;
@@ -12,9 +11,6 @@
 /** A refused caller is told to come back after this time at least and at most, in milliseconds. */
 const minRetryMs = 200;
 const maxRetryMs = 2000;
-/** Reports by workspace, as they travel in heartbeats. */
-export type BucketReports = Readonly<Record<string, BucketReport>>;
-
 /** By how much all VMs together may exceed a workspace's limits in a window. */
 export type RateTolerance = {
 	/** Part of rate and burst. */
@@ -61,10 +57,10 @@
 	}
 
 	/** Takes in what a peer passed. */
-	hear({record, incarnation, buckets}: Heartbeat): void {
+	hear(vm: string, incarnation: number, buckets: BucketReports): void {
 		const nowMs = this.timers.nowMs();
 		for (const [name, report] of Object.entries(buckets)) {
-			this.#entries.get(name)?.bucket.hear(record.vm, incarnation, report, nowMs);
+			this.#entries.get(name)?.bucket.hear(vm, incarnation, report, nowMs);
 		}
 	}
 
--- a/packages/gateway/src/peers/heartbeat.ts
+++ b/packages/gateway/src/peers/heartbeat.ts
@@ -1,7 +1,7 @@
 import {type Buffer} from 'node:buffer';
 import {decode, encode} from 'cbor-x';
 import {Collection} from '@fescuewick/store';
-import {type BucketReports} from '../limits/workspace-limiter.js';
+import {type BucketReports} from '../limits/fleet-bucket.js';
 import {type VmRecord} from '../model/records.js';
 import {type MovedParts} from '../placement/placer.js';
 import {type WorkBySlots} from '../placement/work-meter.js';
--- a/packages/gateway/src/server/request-handler.ts
+++ b/packages/gateway/src/server/request-handler.ts
@@ -1,6 +1,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {ResultCode, resultCodeName, toFescuewickError} from '@fescuewick/core';
 import {hasBody, noBody, readBody} from '@fescuewick/entry/http';
+import {type ActiveRequest} from '../admission/waiting-lines.js';
 import {type ForwardingContext} from '../forward/forwarding-context.js';
 import {type RequestFields} from '../forward/header-dialect.js';
 import {RequestRun, sendError} from '../forward/request-run.js';
@@ -19,7 +20,7 @@
 
 /** Checks callers' requests and starts those that may run. */
 export class RequestHandler {
-	readonly runs = new Set<RequestRun>();
+	readonly runs = new Set<ActiveRequest>();
 	/** New requests are refused, because the process ends soon. */
 	isRefusing = false;
 	readonly #turns = new WeakMap<Route, WeightedTurns>();
@@ -60,7 +61,7 @@
 	}
 
 	/** To be called when a request has its answer. */
-	finished(run: RequestRun): void {
+	finished(run: ActiveRequest): void {
 		this.runs.delete(run);
 	}
 
