Pass a server's error on when no other server can be tried, and split the request run

Found while reading: after a repeatable request had run and failed, a lack of other servers was answered 503 (not run), a server's own error answer was lost, and the second send of a slow request gave the first up when there was no second server. Also breaks the import circles in wire and orders.

--- /dev/null
+++ b/packages/gateway/src/forward/answer-writer.ts
@@ -0,0 +1,55 @@
+import {type Buffer} from 'node:buffer';
+import {type ServerResponse} from 'node:http';
+import {answerHeaders, type AnswerHead} from '@fescuewick/entry/http';
+
+/** Statuses whose answers have no body. */
+const bodylessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
+/** Writes a backend server's answer to its caller. */
+export class AnswerWriter {
+	constructor(private readonly response: ServerResponse, private readonly method: string, private readonly isDraining: () => boolean) {}
+
+	/** Writes a whole answer. */
+	whole(head: AnswerHead, body: Buffer): void {
+		const headers = this.#headers(head);
+		if (this.method !== 'HEAD' && !bodylessStatuses.has(head.status)) {
+			headers['content-length'] = String(body.length);
+		}
+
+		this.response.writeHead(head.status, headers);
+		this.response.end(body);
+	}
+
+	/** Starts an answer that is passed on as it comes. */
+	begin(head: AnswerHead): void {
+		this.response.writeHead(head.status, this.#headers(head));
+	}
+
+	/** Writes a piece; returns false if the caller reads more slowly, and calls `resume` when it has caught up. */
+	write(chunk: Buffer, resume: () => void): boolean {
+		if (this.response.write(chunk)) {
+			return true;
+		}
+
+		this.response.once('drain', resume);
+		return false;
+	}
+
+	/** Ends an answer that was passed on as it came. */
+	end(): void {
+		this.response.end();
+	}
+
+	#headers({headers}: AnswerHead): Record<string, string | string[]> {
+		const kept = answerHeaders(headers);
+		if (headers['transfer-encoding'] !== undefined) {
+			delete kept['content-length'];
+		}
+
+		if (this.isDraining()) {
+			kept.connection = 'close';
+		}
+
+		return kept;
+	}
+}
--- a/packages/gateway/src/forward/request-run.ts
+++ b/packages/gateway/src/forward/request-run.ts
@@ -1,18 +1,21 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
-	errorBody, ResultCode, resultCodeName, resultCodeTable, type Cancel,
+	ResultCode, resultCodeName, resultCodeTable, type Cancel,
 } from '@fescuewick/core';
-import {
-	answerHeaders, Attempt, ConnectionEnd, forwardHeaders, type AnswerHead, type RequestBody,
-} from '@fescuewick/entry/http';
+import {Attempt, type AnswerHead, type RequestBody} from '@fescuewick/entry/http';
 import {admittedWaitMs, retryAfterMs} from '../admission/admission.js';
 import {type ActiveRequest} from '../admission/waiting-lines.js';
 import {type Route, type Workspace} from '../model/configuration.js';
 import {type Backend} from '../placement/backend.js';
 import {homesOf, NoPlacement, type Placement} from '../placement/placer.js';
+import {problemOf} from './answer-check.js';
+import {AnswerWriter} from './answer-writer.js';
+import {learnFromAnswer, learnFromRejection} from './backend-feedback.js';
+import {sendError} from './error-answer.js';
 import {type ForwardingContext} from './forwarding-context.js';
-import {type AnswerFields, type RequestFields} from './header-dialect.js';
+import {type RequestFields} from './header-dialect.js';
+import {outgoingHeaders} from './outgoing-headers.js';
 import {FailureKind, mayRetry} from './retry-policy.js';
 
 /** Answers up to this size are held until they are complete, so that a broken one can be replaced; longer ones are passed on as they come. */
@@ -26,9 +29,6 @@
 /** Latencies under this say nothing about a server's speed, in milliseconds. */
 const minMeasuredMs = 20;
 
-/** Statuses by which callers conclude that a request has not run. */
-const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
 /** A request that was admitted: route, workspace and body are known. */
 export type AdmittedRequest = {
 	readonly request: IncomingMessage;
@@ -62,10 +62,14 @@
 	#isOver = false;
 	#lastServer: string | undefined;
 	#placement: Placement | undefined;
+	/** A server's error answer, passed on if no other server can be tried. */
+	#fallback: {readonly sending: Sending; readonly head: AnswerHead} | undefined;
+	readonly #writer: AnswerWriter;
 
 	constructor(private readonly context: ForwardingContext, private readonly admitted: AdmittedRequest) {
 		this.priority = admitted.workspace?.priority ?? admitted.route.priority;
 		this.#homes = homesOf(admitted.route, admitted.workspace);
+		this.#writer = new AnswerWriter(admitted.response, admitted.request.method!, context.isDraining);
 	}
 
 	get arrivedAtMs(): number {
@@ -102,18 +106,14 @@
 
 	/** Sends the request if a server has room; returns whether it was sent or answered. */
 	#tryPlace(): boolean {
-		const {placer} = this.context;
-		const {service} = this.admitted;
-		const placement = placer.place({
-			service, affinityKey: this.#affinityKey, homeRegions: this.#homes, excluded: this.#excluded, region: this.#region,
-		});
+		const placement = this.#place();
 		if (placement === NoPlacement.full) {
 			return false;
 		}
 
 		this.#endWait();
 		if (placement === NoPlacement.none) {
-			this.#giveUp(ResultCode.noBackend, 'no usable server');
+			this.#giveUp(this.#runs > 0 ? ResultCode.backendCut : ResultCode.noBackend, 'no usable server');
 		} else {
 			this.#send(placement);
 		}
@@ -121,6 +121,12 @@
 		return true;
 	}
 
+	#place(): Placement | NoPlacement {
+		return this.context.placer.place({
+			service: this.admitted.service, affinityKey: this.#affinityKey, homeRegions: this.#homes, excluded: this.#excluded, region: this.#region,
+		});
+	}
+
 	/** Ends the request when the process has to stop. */
 	abandon(): void {
 		this.#giveUp(this.#runs > 0 ? ResultCode.backendCut : ResultCode.draining, 'the VM stops');
@@ -217,18 +223,12 @@
 			attempt, backend, sentAtMs: nowMs, chunks: [], sizeBytes: 0, isStreaming: false,
 		};
 		this.#sendings.add(sending);
-		const headers = forwardHeaders(request.rawHeaders, false, value => fields.key !== undefined && value.includes(fields.key));
 		attempt.send({
 			method: request.method!,
 			path: request.url!,
-			headers: [
-				'host',
-				request.headers.host!,
-				...keptPairs(headers, name => dialect.isReserved(name)),
-				...dialect.forwarded({
-					id, timeLeftMs: Math.max(1, Math.floor(this.#timeLeftMs)), workspace: workspace?.name, server: backend.id,
-				}),
-			],
+			headers: outgoingHeaders(request, fields.key, dialect, {
+				id, timeLeftMs: Math.max(1, Math.floor(this.#timeLeftMs)), workspace: workspace?.name, server: backend.id,
+			}),
 			body: body.rest ?? (body.held.length > 0 ? body.held : undefined),
 		});
 		if (route.isRepeatable && isReplayable) {
@@ -241,12 +241,16 @@
 		const {timers} = this.context;
 		this.#cancels.push(timers.after(Math.max(minRescueMs, this.#expectedMs * rescueFactor), () => {
 			const isSilent = this.#sendings.has(sending) && sending.attempt.head === undefined;
-			if (this.#isOver || !isSilent || this.#sendings.size > 1 || !this.#allowsRetry(FailureKind.unknown)) {
+			if (this.#isOver || !isSilent || this.#sendings.size > 1) {
 				return;
 			}
 
 			sending.backend.outcome(true, undefined, timers.nowMs());
-			this.#tryPlace();
+			const placement = this.#place();
+			// The first attempt goes on if there is no second server for the request.
+			if (typeof placement !== 'string' && this.#allowsRetry(FailureKind.unknown)) {
+				this.#send(placement);
+			}
 		}));
 	}
 
@@ -261,7 +265,7 @@
 			return this.#beginStream(sending);
 		}
 
-		return this.#write(sending, chunk);
+		return this.#pass(sending, chunk);
 	}
 
 	/** Starts to pass on a long answer; the other attempts end. */
@@ -275,24 +279,16 @@
 
 		sending.isStreaming = true;
 		this.#cancelOthers(sending);
-		const {response} = this.admitted;
-		const {status, headers} = sending.attempt.head!;
-		response.writeHead(status, this.#answerHeaders(headers));
+		this.#writer.begin(sending.attempt.head!);
 		const {chunks} = sending;
 		sending.chunks = [];
-		return this.#write(sending, Buffer.concat(chunks));
+		return this.#pass(sending, Buffer.concat(chunks));
 	}
 
-	#write(sending: Sending, chunk: Buffer): boolean {
-		const {response} = this.admitted;
-		if (response.write(chunk)) {
-			return true;
-		}
-
-		response.once('drain', () => {
+	#pass(sending: Sending, chunk: Buffer): boolean {
+		return this.#writer.write(chunk, () => {
 			sending.attempt.resume();
 		});
-		return false;
 	}
 
 	#onEnd(sending: Sending): void {
@@ -305,7 +301,7 @@
 		this.#finish(sending);
 		if (sending.isStreaming) {
 			backend.connections.release(attempt.connection);
-			this.admitted.response.end();
+			this.#writer.end();
 			this.#over(ResultCode.ok, head.status);
 			return;
 		}
@@ -320,9 +316,9 @@
 		}
 
 		backend.connections.release(attempt.connection);
-		this.#learn(backend, answer, nowMs);
+		learnFromAnswer(backend, answer, nowMs);
 		if (answer.isNotRun || answer.isMisdirected) {
-			this.#rejected(backend, answer, nowMs);
+			this.#next(FailureKind.notRun, ResultCode.backendShed, learnFromRejection(backend, answer, this.context.placer, nowMs));
 			return;
 		}
 
@@ -340,6 +336,7 @@
 		}
 
 		if (isFailure && this.#allowsRetry(FailureKind.serverError)) {
+			this.#fallback = {sending, head};
 			this.#again();
 			return;
 		}
@@ -347,54 +344,11 @@
 		this.#answer(sending, head);
 	}
 
-	/** Takes in what an answer says of its server. */
-	#learn(backend: Backend, {load, coldRemainingMs}: AnswerFields, nowMs: number): void {
-		if (load !== undefined) {
-			backend.report(load, nowMs);
-		}
-
-		if (coldRemainingMs !== undefined) {
-			backend.coldFor(coldRemainingMs, nowMs);
-		}
-	}
-
-	#rejected(backend: Backend, answer: AnswerFields, nowMs: number): void {
-		if (answer.isMisdirected) {
-			this.context.placer.misdirected(backend);
-		} else {
-			// A server that rejects requests with slots free is faulty rather than full.
-			if (answer.load === undefined || answer.load.running >= backend.slots) {
-				backend.shed(nowMs);
-			}
-
-			backend.outcome(true, undefined, nowMs);
-		}
-
-		this.#next(FailureKind.notRun, ResultCode.backendShed, answer.isMisdirected ? 'another server has the address' : 'the server rejected the request');
-	}
-
-	/** What is wrong with an answer; undefined if it may be passed on. */
 	#problemOf({attempt}: Sending): string | undefined {
-		const {status, headers} = attempt.head!;
-		if (isCut(attempt.connection.end, headers)) {
-			return 'the connection ended within the answer';
-		}
-
-		const answer = this.context.dialect.readAnswer(status, headers);
-		if (answer.id !== undefined && answer.id !== this.admitted.id) {
-			return 'the answer belongs to another request';
-		}
-
-		// Callers take these statuses as a promise that the request has not run.
-		if (notRunStatuses.has(status) && !answer.isNotRun && !answer.isMisdirected) {
-			return `the server answered ${status} without saying that it did not run the request`;
-		}
-
-		if (status < 300 && !answer.isProven) {
-			return 'the answer does not come from the server itself';
-		}
-
-		return headers['content-encoding'] === undefined ? undefined : 'the answer is encoded';
+		const head = attempt.head!;
+		return problemOf({
+			head, fields: this.context.dialect.readAnswer(head.status, head.headers), end: attempt.connection.end, requestId: this.admitted.id,
+		});
 	}
 
 	#onFail(sending: Sending, error: Error): void {
@@ -469,32 +423,11 @@
 
 	/** Answers with what a server answered. */
 	#answer(sending: Sending, head: AnswerHead): void {
-		const {response, request} = this.admitted;
 		this.#cancelOthers(sending);
-		const body = Buffer.concat(sending.chunks);
-		const headers = this.#answerHeaders(head.headers);
-		if (request.method !== 'HEAD' && head.status !== 304 && head.status !== 204) {
-			headers['content-length'] = String(body.length);
-		}
-
-		response.writeHead(head.status, headers);
-		response.end(body);
+		this.#writer.whole(head, Buffer.concat(sending.chunks));
 		this.#over(ResultCode.ok, head.status);
 	}
 
-	#answerHeaders(headers: AnswerHead['headers']): Record<string, string | string[]> {
-		const kept = answerHeaders(headers);
-		if (headers['transfer-encoding'] !== undefined) {
-			delete kept['content-length'];
-		}
-
-		if (this.context.isDraining()) {
-			kept.connection = 'close';
-		}
-
-		return kept;
-	}
-
 	#expire(): void {
 		if (this.#sendings.size === 0) {
 			this.#giveUp(this.#runs > 0 ? ResultCode.backendCut : ResultCode.deadlineUnreachable, 'the time is over');
@@ -511,6 +444,11 @@
 			return;
 		}
 
+		if (this.#fallback !== undefined) {
+			this.#answer(this.#fallback.sending, this.#fallback.head);
+			return;
+		}
+
 		const {admitted: {response, request, id, workspace}, context} = this;
 		const isNotRun = this.#runs === 0 && [...this.#sendings].every(({attempt}) => !attempt.written);
 		this.#cancelOthers(undefined);
@@ -576,43 +514,3 @@
 		});
 	}
 }
-
-/** Whether the end of its connection left an answer incomplete; one with a stated length is checked by the client. */
-function isCut(end: ConnectionEnd | undefined, headers: AnswerHead['headers']): boolean {
-	return end === ConnectionEnd.reset || (end === ConnectionEnd.orderly && headers['transfer-encoding'] !== undefined);
-}
-
-/** An answer of the system itself. */
-export type ErrorAnswer = {
-	readonly response: ServerResponse;
-	readonly code: ResultCode;
-	readonly id: string | undefined;
-	readonly idHeader: string;
-	/** When the caller should come back, in milliseconds. */
-	readonly retryMs?: number;
-	readonly isClosing: boolean;
-	readonly message?: string;
-};
-
-/** Answers with a numbered error. */
-export function sendError({response, code, id, idHeader, retryMs, isClosing, message}: ErrorAnswer): void {
-	const content = Buffer.from(JSON.stringify(errorBody(code, message, retryMs)));
-	response.writeHead(resultCodeTable[code].httpStatus, {
-		'content-type': 'application/json',
-		'content-length': String(content.length),
-		'x-fescuewick-code': String(code),
-		...(id === undefined ? {} : {[idHeader]: id}),
-		...(retryMs === undefined ? {} : {'retry-after': (retryMs / 1000).toFixed(2)}),
-		...(isClosing ? {connection: 'close'} : {}),
-	});
-	response.end(content);
-}
-
-function * keptPairs(headers: readonly string[], isReserved: (name: string) => boolean): Generator<string> {
-	for (let index = 0; index < headers.length; index += 2) {
-		if (!isReserved(headers[index].toLowerCase())) {
-			yield headers[index];
-			yield headers[index + 1];
-		}
-	}
-}
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -135,6 +135,45 @@
 	t.is(await statusOf(call('/reserve/1', {method: 'POST', body: 'x'})), 502);
 });
 
+test('a server\'s error is passed on when no other server can be tried', async t => {
+	// Guards against a refusal that says "not run" after the request ran, and against losing an answer that was there.
+	const store = storeWith(configuration(1));
+	await addBackend(t, store, {
+		id: 's1', answering(socket, request) {
+			socket.write(`HTTP/1.1 500 Broken\r\ntest-id: ${headerOf(request, 'test-id')}\r\ntest-proof: 1\r\ncontent-length: 4\r\n\r\noops`);
+		},
+	});
+	const {call} = await start(t, {store});
+	const response = await call('/check/1');
+	t.is(response.status, 500);
+	t.is(await response.text(), 'oops');
+});
+
+test('a repeatable request that may have run is not refused as not run when no other server is left', async t => {
+	const store = storeWith(configuration(1));
+	await addBackend(t, store, {
+		id: 's1', answering(socket) {
+			socket.destroy();
+		},
+	});
+	const {call} = await start(t, {store});
+	t.is(await statusOf(call('/check/1')), 502);
+});
+
+test('a slow request goes on when there is no second server for it', async t => {
+	// Guards against giving up on an answer that is still to come.
+	const store = storeWith(configuration(1));
+	await addBackend(t, store, {
+		id: 's1', answering(socket, request) {
+			setTimeout(() => {
+				answerOk(socket, request);
+			}, 1500);
+		},
+	});
+	const {call} = await start(t, {store});
+	t.is(await statusOf(call('/check/1')), 200);
+});
+
 const brokenAnswers: Record<string, Answering> = {
 	'belongs to another request'(socket) {
 		socket.write('HTTP/1.1 200 OK\r\ntest-id: another\r\ntest-proof: 1\r\ncontent-length: 2\r\n\r\nok');
--- a/packages/gateway/src/server/request-handler.ts
+++ b/packages/gateway/src/server/request-handler.ts
@@ -4,7 +4,8 @@
 import {type ActiveRequest} from '../admission/waiting-lines.js';
 import {type ForwardingContext} from '../forward/forwarding-context.js';
 import {type RequestFields} from '../forward/header-dialect.js';
-import {RequestRun, sendError} from '../forward/request-run.js';
+import {sendError} from '../forward/error-answer.js';
+import {RequestRun} from '../forward/request-run.js';
 import {type ConfigurationIndex, type Route, type Workspace} from '../model/configuration.js';
 import {WeightedTurns} from '../placement/weighted-turns.js';
 
--- a/packages/orders/src/journal/expiry.ts
+++ b/packages/orders/src/journal/expiry.ts
@@ -1,8 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {BloomFilter, filterCapacity} from '../claim-table/bloom-filter.js';
 import {type JournalIndex} from './journal-index.js';
-import {type TailDraft} from './partition-log.js';
-import {type CreateObject} from './sealing.js';
+import {type CreateObject, type TailDraft} from './tail-draft.js';
 
 type Expiry = {readonly nowS: number; readonly windowS: number; readonly name: string};
 
--- a/packages/orders/src/journal/partition-log.ts
+++ b/packages/orders/src/journal/partition-log.ts
@@ -12,6 +12,7 @@
 import {
 	emptyTail, fromTailAnswer, toTailAnswer, type Tail,
 } from './tail.js';
+import {type TailDraft} from './tail-draft.js';
 import {type WriteLane} from './write-lane.js';
 
 /** Exact tables per repeat window; orders stay in them for up to an eighth of the window longer. */
@@ -22,16 +23,6 @@
 /** A record with the answer that belongs to it. */
 export type BatchItem = {readonly record: JournalRecord; readonly answerId: string; readonly answer: StoredAnswer | undefined};
 
-/** Tail of the next write and what becomes true once it took effect. */
-export type TailDraft = {
-	tail: Tail;
-	/** Records of the tail before base64. */
-	records: Buffer;
-	readonly filters: Map<string, BloomFilter>;
-	readonly segments: Map<string, Buffer>;
-	readonly garbage: string[];
-};
-
 /** What a `PartitionLog` works with. */
 export type PartitionLogParts = {
 	readonly timers: TimerService;
--- a/packages/orders/src/journal/sealing.ts
+++ b/packages/orders/src/journal/sealing.ts
@@ -1,10 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type JournalOptions} from './journal-options.js';
-import {type TailDraft} from './partition-log.js';
 import {type Tail} from './tail.js';
-
-/** Creates an immutable object of the partition. */
-export type CreateObject = (name: string, content: Buffer) => Promise<void>;
+import {type CreateObject, type TailDraft} from './tail-draft.js';
 
 type Sealing = {
 	readonly name: string;
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -8,6 +8,7 @@
 export * from './claim-messages.js';
 export type * from './slice-messages.js';
 export * from './platform-keys.js';
+export type * from './records.js';
 export * from './shift-limits.js';
 export type * from './shift-messages.js';
 export * from './tcp-transport.js';
--- a/packages/wire/src/load-codec.ts
+++ b/packages/wire/src/load-codec.ts
@@ -1,7 +1,8 @@
 import {FescuewickError, ResultCode} from '@fescuewick/core';
 import {
-	MessageType, type DomainLoad, type DomainLoadsBody, type LoadEntry, type LoadReportBody,
+	MessageType, type DomainLoad, type DomainLoadsBody, type LoadReportBody,
 } from './messages.js';
+import {type LoadEntry} from './records.js';
 
 /** Rates travel as whole hundredths; fractions would take nine bytes each. */
 const ratePrecision = 100;
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -2,6 +2,7 @@
 import {
 	type ClaimAnswersBody, type ClaimCompleteBody, type ClaimReleaseBody, type ClaimReplyBody, type ClaimRequestBody,
 } from './claim-messages.js';
+import {type LoadEntry, type VmRecord} from './records.js';
 import {type ShiftGrantBody, type ShiftRequestBody} from './shift-messages.js';
 import {
 	type LoanBound, type SliceDemandBody, type SliceLoanBody, type SliceLoansBody,
@@ -102,30 +103,6 @@
 /** SHA-256 hashes of withdrawn keys; receivers merge them. */
 export type RevocationsBody = {readonly keyHashes: readonly string[]};
 
-/** An entry VM as known from the platform's list and heartbeats. */
-export type VmRecord = {
-	readonly vm: string;
-	readonly failureDomain: string;
-	readonly region: string;
-	readonly controlAddress: string;
-	readonly entryUrl: string;
-	readonly lookupUrl: string;
-	readonly adminUrl: string;
-	readonly leaving: boolean;
-};
-
-/** A backend server as known from the platform's list. */
-export type BackendRecord = {
-	readonly server: string;
-	readonly service: string;
-	readonly failureDomain: string;
-	readonly region: string;
-	readonly address: string;
-	readonly slots: number;
-	readonly connections: number;
-	readonly leaving: boolean;
-};
-
 /** Members a peer knows, with their incarnations. */
 export type MemberDigestBody = {
 	readonly members: ReadonlyArray<{
@@ -263,18 +240,6 @@
 /** Gives shares back, for example at shutdown. */
 export type ShareReturnBody = {readonly holder: string; readonly epoch: number; readonly returned: ReadonlyArray<{readonly kind: ShareKind; readonly resource: string; readonly tokens: number}>};
 
-/** Load of a failure domain for one service. */
-export type LoadEntry = {
-	readonly service: string;
-	readonly failureDomain: string;
-	readonly region: string;
-	readonly capacityPerS: number;
-	readonly loadPerS: number;
-	readonly cold: boolean;
-	readonly bytesPerRequest: number;
-	readonly ageMs: number;
-};
-
 /** Load of one VM: from its entry daemon to its control daemon, and from there to the aggregator of its failure domain. */
 export type LoadReportBody = {readonly entries: readonly LoadEntry[]};
 
--- a/packages/wire/src/snapshot/snapshot-messages.ts
+++ b/packages/wire/src/snapshot/snapshot-messages.ts
@@ -1,4 +1,4 @@
-import {type VmRecord, type BackendRecord, type LoadEntry} from '../messages.js';
+import {type VmRecord, type BackendRecord, type LoadEntry} from '../records.js';
 import {type HeldShiftGrant} from '../shift-messages.js';
 
 /** What entry and look-up daemons know of the fleet. */
