--- a/packages/gateway/src/admission/waiting-lines.ts
+++ b/packages/gateway/src/admission/waiting-lines.ts
@@ -17,9 +17,9 @@
 
 /** The waiting lines by service. */
 export class WaitingLines {
-	readonly #lines = new Map<string, WaitingLine<WaitingRequest>>();
+	readonly #lines = new Map<string, WaitingLine<ActiveRequest>>();
 
-	of(service: string): WaitingLine<WaitingRequest> {
+	of(service: string): WaitingLine<ActiveRequest> {
 		let line = this.#lines.get(service);
 		if (line === undefined) {
 			line = new WaitingLine();
--- a/packages/gateway/src/forward/request-run.test.ts
+++ b/packages/gateway/src/forward/request-run.test.ts
@@ -10,7 +10,8 @@
 import {WorkMeter} from '../placement/work-meter.js';
 import {backendRecord, route, TestDialect} from '../testing/fixtures.js';
 import {RetryBudgets, type ForwardingContext} from './forwarding-context.js';
-import {RequestRun, type AdmittedRequest} from './request-run.js';
+import {type AdmittedRequest} from './admitted-request.js';
+import {RequestRun} from './request-run.js';
 import {RouteLatency} from './route-latency.js';
 
 function createRuns(onAcquire: (lines: WaitingLines) => void) {
--- a/packages/gateway/src/forward/request-run.ts
+++ b/packages/gateway/src/forward/request-run.ts
@@ -1,22 +1,21 @@
 import {Buffer} from 'node:buffer';
-import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
 	ResultCode, resultCodeName, resultCodeTable, type Cancel,
 } from '@fescuewick/core';
-import {Attempt, type AnswerHead, type RequestBody} from '@fescuewick/entry/http';
+import {Attempt, type AnswerHead} from '@fescuewick/entry/http';
 import {admittedWaitMs, retryAfterMs} from '../admission/admission.js';
 import {type ActiveRequest} from '../admission/waiting-lines.js';
-import {type Route, type Workspace} from '../model/configuration.js';
-import {type Backend} from '../placement/backend.js';
 import {homesOf, NoPlacement, type Placement} from '../placement/placer.js';
+import {type AdmittedRequest} from './admitted-request.js';
 import {problemOf} from './answer-check.js';
 import {AnswerWriter} from './answer-writer.js';
 import {learnFromAnswer, learnFromRejection} from './backend-feedback.js';
 import {sendError} from './error-answer.js';
 import {type ForwardingContext} from './forwarding-context.js';
-import {type RequestFields} from './header-dialect.js';
 import {outgoingHeaders} from './outgoing-headers.js';
 import {FailureKind, mayRetry} from './retry-policy.js';
+import {Sendings, type Sending} from './sendings.js';
+import {SlotWait} from './slot-wait.js';
 
 /** Answers up to this size are held until they are complete, so that a broken one can be replaced; longer ones are passed on as they come. */
 const maxHeldBytes = 262_144;
@@ -29,46 +28,31 @@
 /** Latencies under this say nothing about a server's speed, in milliseconds. */
 const minMeasuredMs = 20;
 
-/** A request that was admitted: route, workspace and body are known. */
-export type AdmittedRequest = {
-	readonly request: IncomingMessage;
-	readonly response: ServerResponse;
-	readonly fields: RequestFields;
-	readonly id: string;
-	readonly route: Route;
-	readonly workspace: Workspace | undefined;
-	readonly service: string;
-	readonly body: RequestBody;
-	readonly arrivedAtMs: number;
-	/** When the answer has to be there. */
-	readonly deadlineAtMs: number;
-};
-
-type Sending = {readonly attempt: Attempt; readonly backend: Backend; readonly sentAtMs: number; chunks: Buffer[]; sizeBytes: number; isStreaming: boolean};
-
 /** Leads one request to its answer: waits for a slot, sends it, sends it again where that is safe, and answers once. */
 export class RequestRun implements ActiveRequest {
 	readonly priority: number;
 	readonly #excluded = new Set<string>();
-	readonly #sendings = new Set<Sending>();
+	readonly #sendings: Sendings;
 	readonly #cancels: Cancel[] = [];
 	readonly #homes: readonly string[] | undefined;
 	#region: string | undefined;
 	#runs = 0;
 	#attempts = 0;
-	#isWaiting = false;
-	#cancelWait: Cancel | undefined;
-	#waitedMs = 0;
 	#isOver = false;
 	#lastServer: string | undefined;
 	#placement: Placement | undefined;
 	/** A server's error answer, passed on if no other server can be tried. */
 	#fallback: {readonly sending: Sending; readonly head: AnswerHead} | undefined;
 	readonly #writer: AnswerWriter;
+	readonly #wait: SlotWait;
 
 	constructor(private readonly context: ForwardingContext, private readonly admitted: AdmittedRequest) {
 		this.priority = admitted.workspace?.priority ?? admitted.route.priority;
 		this.#homes = homesOf(admitted.route, admitted.workspace);
+		this.#sendings = new Sendings(() => {
+			context.lines.roomFor(admitted.service);
+		});
+		this.#wait = new SlotWait(this, context.lines.of(admitted.service), context.timers);
 		this.#writer = new AnswerWriter(admitted.response, admitted.request.method!, context.isDraining);
 	}
 
@@ -93,13 +77,13 @@
 		}));
 		// A newcomer does not overtake requests that wait.
 		if (lines.of(service).ahead(this.priority) > 0 || !this.#tryPlace()) {
-			this.#wait();
+			this.#enterLine();
 		}
 	}
 
 	/** A server may have room; has no effect if the request no longer waits, as when a nested call has sent it already. */
 	onRoom(): void {
-		if (this.#isWaiting) {
+		if (this.#wait.isWaiting) {
 			this.#tryPlace();
 		}
 	}
@@ -111,7 +95,7 @@
 			return false;
 		}
 
-		this.#endWait();
+		this.#wait.end();
 		if (placement === NoPlacement.none) {
 			this.#giveUp(this.#runs > 0 ? ResultCode.backendCut : ResultCode.noBackend, 'no usable server');
 		} else {
@@ -145,7 +129,7 @@
 		return this.context.latency.expectedMs(route.name, route.targetMs / 2);
 	}
 
-	#wait(): void {
+	#enterLine(): void {
 		const {lines, placer, latency, timers} = this.context;
 		const {service, route} = this.admitted;
 		const line = lines.of(service);
@@ -162,25 +146,9 @@
 			return;
 		}
 
-		this.#isWaiting = true;
-		const startedAtMs = timers.nowMs();
-		line.add(this);
-		const cancel = timers.after(waitMs, () => {
-			this.#endWait();
+		this.#wait.begin(waitMs, () => {
 			this.#giveUp(ResultCode.queueFull, 'no slot became free');
 		});
-		this.#cancelWait = () => {
-			cancel();
-			this.#waitedMs += timers.nowMs() - startedAtMs;
-		};
-	}
-
-	#endWait(): void {
-		if (this.#isWaiting) {
-			this.#isWaiting = false;
-			this.#cancelWait?.();
-			this.context.lines.of(this.admitted.service).remove(this);
-		}
 	}
 
 	#send(placement: Placement): void {
@@ -204,7 +172,6 @@
 
 		this.#attempts++;
 		this.#excluded.add(backend.id);
-		backend.inFlight++;
 		if (backend.isCold(nowMs)) {
 			backend.coldSent.add(nowMs);
 		}
@@ -241,7 +208,7 @@
 		const {timers} = this.context;
 		this.#cancels.push(timers.after(Math.max(minRescueMs, this.#expectedMs * rescueFactor), () => {
 			const isSilent = this.#sendings.has(sending) && sending.attempt.head === undefined;
-			if (this.#isOver || !isSilent || this.#sendings.size > 1) {
+			if (this.#isOver || !isSilent || this.#sendings.count > 1) {
 				return;
 			}
 
@@ -278,7 +245,7 @@
 		}
 
 		sending.isStreaming = true;
-		this.#cancelOthers(sending);
+		this.#sendings.cancelOthers(sending);
 		this.#writer.begin(sending.attempt.head!);
 		const {chunks} = sending;
 		sending.chunks = [];
@@ -298,7 +265,7 @@
 		const head = attempt.head!;
 		const nowMs = timers.nowMs();
 		const answer = dialect.readAnswer(head.status, head.headers);
-		this.#finish(sending);
+		this.#sendings.finish(sending);
 		if (sending.isStreaming) {
 			backend.connections.release(attempt.connection);
 			this.#writer.end();
@@ -354,7 +321,7 @@
 	#onFail(sending: Sending, error: Error): void {
 		const {timers, placer} = this.context;
 		const {backend, attempt} = sending;
-		this.#finish(sending);
+		this.#sendings.finish(sending);
 		backend.connections.discard(attempt.connection);
 		if (this.#isOver) {
 			return;
@@ -376,16 +343,9 @@
 		}
 	}
 
-	#finish(sending: Sending): void {
-		if (this.#sendings.delete(sending)) {
-			sending.backend.inFlight--;
-			this.context.lines.roomFor(this.admitted.service);
-		}
-	}
-
 	/** Decides what follows a failed attempt. */
 	#next(kind: FailureKind, code: ResultCode, reason: string): void {
-		if (this.#isOver || this.#sendings.size > 0) {
+		if (this.#isOver || this.#sendings.count > 0) {
 			return;
 		}
 
@@ -406,7 +366,7 @@
 		}
 
 		const isAllowed = mayRetry({
-			kind, isRepeatable: route.isRepeatable, runs: Math.max(this.#runs, this.#sendings.size), attempts: this.#attempts, maxAttempts: route.maxAttempts, timeLeftMs: this.#timeLeftMs, expectedMs: this.#expectedMs,
+			kind, isRepeatable: route.isRepeatable, runs: Math.max(this.#runs, this.#sendings.count), attempts: this.#attempts, maxAttempts: route.maxAttempts, timeLeftMs: this.#timeLeftMs, expectedMs: this.#expectedMs,
 		});
 		return isAllowed && this.context.budgets.of(service).take();
 	}
@@ -416,26 +376,25 @@
 			if (this.#runs > 0) {
 				this.#giveUp(ResultCode.backendCut, 'no second server has room');
 			} else {
-				this.#wait();
+				this.#enterLine();
 			}
 		}
 	}
 
 	/** Answers with what a server answered. */
 	#answer(sending: Sending, head: AnswerHead): void {
-		this.#cancelOthers(sending);
+		this.#sendings.cancelOthers(sending);
 		this.#writer.whole(head, Buffer.concat(sending.chunks));
 		this.#over(ResultCode.ok, head.status);
 	}
 
 	#expire(): void {
-		if (this.#sendings.size === 0) {
+		if (this.#sendings.count === 0) {
 			this.#giveUp(this.#runs > 0 ? ResultCode.backendCut : ResultCode.deadlineUnreachable, 'the time is over');
 			return;
 		}
 
-		const isSent = [...this.#sendings].some(({attempt}) => attempt.written);
-		this.#giveUp(isSent || this.#runs > 0 ? ResultCode.backendTimeout : ResultCode.deadlineUnreachable, 'the time is over');
+		this.#giveUp(this.#sendings.mayHaveRun || this.#runs > 0 ? ResultCode.backendTimeout : ResultCode.deadlineUnreachable, 'the time is over');
 	}
 
 	/** Ends the request with an answer of the system. */
@@ -450,8 +409,8 @@
 		}
 
 		const {admitted: {response, request, id, workspace}, context} = this;
-		const isNotRun = this.#runs === 0 && [...this.#sendings].every(({attempt}) => !attempt.written);
-		this.#cancelOthers(undefined);
+		const isNotRun = this.#runs === 0 && !this.#sendings.mayHaveRun;
+		this.#sendings.cancelOthers(undefined);
 		if (isNotRun && workspace !== undefined) {
 			context.limiter.giveBack(workspace.name);
 		}
@@ -469,24 +428,14 @@
 	/** The caller closed its connection. */
 	#leave(): void {
 		if (!this.#isOver) {
-			this.#cancelOthers(undefined);
+			this.#sendings.cancelOthers(undefined);
 			this.#over(ResultCode.callerLeft, undefined, 'the caller left');
 		}
 	}
 
-	#cancelOthers(kept: Sending | undefined): void {
-		for (const sending of this.#sendings) {
-			if (sending !== kept) {
-				sending.attempt.cancel();
-				sending.backend.connections.discard(sending.attempt.connection);
-				this.#finish(sending);
-			}
-		}
-	}
-
 	#over(code: ResultCode, status: number | undefined, reason?: string): void {
 		this.#isOver = true;
-		this.#endWait();
+		this.#wait.end();
 		for (const cancel of this.#cancels) {
 			cancel();
 		}
@@ -503,7 +452,7 @@
 			status,
 			reason,
 			durationMs: Math.round(context.timers.nowMs() - arrivedAtMs),
-			waitedMs: Math.round(this.#waitedMs),
+			waitedMs: Math.round(this.#wait.waitedMs),
 			attempts: this.#attempts,
 			server: this.#lastServer,
 			placed: placement?.reason,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 import {performance} from 'node:perf_hooks';
 import {Agent} from 'undici';
 import {
-	Metrics, ResultCode, toFescuewickError, type Cancel, type Logger, type TimerService,
+	Metrics, type Cancel, type Logger, type TimerService,
 } from '@fescuewick/core';
 import {Collection, type CollectionStore} from '@fescuewick/store';
 import {WaitingLines} from './admission/waiting-lines.js';
@@ -16,6 +16,7 @@
 import {type Heartbeat} from './peers/heartbeat.js';
 import {PeerClient} from './peers/peer-client.js';
 import {PeerTable} from './peers/peer-table.js';
+import {Registration} from './peers/registration.js';
 import {Placer, type MovedParts} from './placement/placer.js';
 import {Prober} from './placement/prober.js';
 import {WorkMeter, type WorkBySlots} from './placement/work-meter.js';
@@ -41,8 +42,6 @@
 const lapseWindowMs = 3000;
 /** How often silent peers and held servers are looked for, in milliseconds. */
 const expiryIntervalMs = 250;
-/** A starting VM asks its seeds when the store has not answered for this time, in milliseconds. */
-const seedDelayMs = 400;
 /** Time in which a starting VM hopes for its copies before it listens anyway, in milliseconds. */
 const startWaitMs = 1500;
 /** How often the parts of requests that run in other regions are adapted, in milliseconds. */
@@ -68,6 +67,7 @@
 	readonly #state: FleetState;
 	readonly #peers: PeerTable;
 	readonly #gossip: Gossip;
+	readonly #registration: Registration;
 	readonly #catchUp: CatchUp;
 	readonly #peerClient = new PeerClient();
 	readonly #followers: Record<string, StoreFollower>;
@@ -116,6 +116,20 @@
 				this.#limiter.hear(heartbeat.record.vm, heartbeat.incarnation, heartbeat.buckets);
 			},
 		});
+		this.#registration = new Registration({
+			store: deps.store,
+			gate: this.#gate,
+			vms: this.#state.replicas[Collection.vms],
+			table: this.#peers,
+			client: this.#peerClient,
+			seeds: settings.seeds,
+			timers,
+			logger,
+			needsPeers: () => this.#state.configuration === undefined,
+			onLearned: () => {
+				this.#gossip.send(true);
+			},
+		});
 		this.#followers = Object.fromEntries(followed.map(collection => [collection, new StoreFollower({
 			store: deps.store, collection, replica: this.#state.replicas[collection], gate: this.#gate, timers, logger,
 			watchWaitMs: () => Math.round(watchWaitMs * (0.75 + (random() / 2))),
@@ -180,7 +194,7 @@
 			void follower.run();
 		}
 
-		void this.#register();
+		this.#registration.start();
 		this.#cancels.push(
 			timers.repeat(expiryIntervalMs, () => {
 				this.#peers.expire();
@@ -193,9 +207,6 @@
 				this.#work.sample(steeringIntervalMs);
 				this.#placer.steer(this.#workByRegion(), steeringIntervalMs, this.#partsOfRegion());
 			}),
-			timers.after(seedDelayMs, () => {
-				void this.#askSeeds();
-			}),
 		);
 		this.#prober.start();
 		while (!this.#hasCopies && timers.nowMs() - startedAtMs < startWaitMs) {
@@ -212,7 +223,7 @@
 
 	/** Applies changed settings; addresses and location hold until the next start. */
 	reload(settings: GatewaySettings): void {
-		this.settings = {...this.settings, bounds: settings.bounds, seeds: settings.seeds};
+		this.settings = {...this.settings, bounds: settings.bounds};
 		this.deps.logger.info({event: 'reloaded', bounds: settings.bounds}, 'settings were read again');
 	}
 
@@ -232,6 +243,7 @@
 		}
 
 		this.#prober.stop();
+		this.#registration.stop();
 		this.#gossip.stop();
 		for (const {server} of this.#sideServers) {
 			server.close();
@@ -351,64 +363,4 @@
 		const ready = [...this.#peers.alive()].filter(({isReady}) => isReady).map(({record}) => record);
 		return entryAddressesFor(caller, this.isReady ? [this.#self, ...ready] : ready);
 	}
-
-	/** Makes this VM known: reads the other VMs' records and writes its own if it is missing or differs. */
-	async #register(): Promise<void> {
-		const {store, timers, logger} = this.deps;
-		const vms = this.#state.replicas[Collection.vms];
-		const caller = Symbol('register');
-		for (let isDone = false; !isDone && !this.#isStopping;) {
-			await this.#gate.turn(caller);
-			try {
-				const listing = await store.list(Collection.vms);
-				vms.applyListing(listing);
-				for (const {value} of listing.records) {
-					if (value !== undefined) {
-						this.#peers.learn(value as VmRecord);
-					}
-				}
-
-				const own = listing.records.find(({name}) => name === this.#self.vm)?.value;
-				if (JSON.stringify(own) !== JSON.stringify(this.#self)) {
-					await store.put(Collection.vms, this.#self.vm, this.#self);
-				}
-
-				this.#gate.succeeded(caller);
-				this.#gossip.send(true);
-				// VMs that start at the same moment may have read the list before the others wrote.
-				await timers.sleep(1000);
-				isDone = listing.records.length > 0 && own !== undefined;
-			} catch (error) {
-				const {code, message} = toFescuewickError(error);
-				logger.warn({event: 'register-failed', code, reason: message}, 'could not register this VM');
-				this.#gate.failed(caller, message);
-			}
-		}
-	}
-
-	async #askSeeds(): Promise<void> {
-		const {logger} = this.deps;
-		if (this.#state.configuration !== undefined || this.#isStopping) {
-			return;
-		}
-
-		for (const seed of this.settings.seeds.filter(seed => seed !== this.#self.peerAddress)) {
-			try {
-				for (const record of await this.#peerClient.members(seed)) {
-					this.#peers.learn(record);
-				}
-			} catch (error) {
-				const {code, message} = toFescuewickError(error, ResultCode.peerClosed);
-				logger.info({
-					event: 'seed-failed', seed, code, reason: message,
-				}, 'a seed does not answer');
-			}
-		}
-
-		// Peers answer with heartbeats, whose revisions lead to their copies.
-		this.#gossip.send(true);
-		this.#cancels.push(this.deps.timers.after(seedDelayMs, () => {
-			void this.#askSeeds();
-		}));
-	}
 }
