--- a/packages/bench/src/processes/path.test.ts
+++ b/packages/bench/src/processes/path.test.ts
@@ -51,7 +51,7 @@
 // Guards against daemon packages that come to use processes, worker threads or shared memory.
 test.serial('no source of a daemon package uses processes, worker threads or shared memory', t => {
 	const forbidden = /["'](?:node:)?(?:child_process|cluster|worker_threads)["']|SharedArrayBuffer/;
-	for (const name of ['control', 'entry', 'lookup', 'core', 'wire', 'store', 'config', 'membership', 'shares', 'orders', 'cli', 'emulator', 'local']) {
+	for (const name of ['control', 'entry', 'lookup', 'core', 'wire', 'store', 'config', 'membership', 'shares', 'orders', 'cli', 'emulator', 'local', 'gateway', '../platform']) {
 		const folder = fileURLToPath(new URL(`../../../${name}/src`, import.meta.url));
 		const files = readdirSync(folder, {recursive: true, encoding: 'utf8'}).filter(file => file.endsWith('.ts') && !file.endsWith('.test.ts'));
 		t.true(files.length > 0);
