--- a/packages/gateway/src/forward/backend-feedback.ts
+++ b/packages/gateway/src/forward/backend-feedback.ts
@@ -3,13 +3,13 @@
 import {type AnswerFields} from './header-dialect.js';
 
 /** Takes in the load and the cold time that a server states with an answer. */
-export function learnFromAnswer(backend: Backend, {load, coldRemainingMs}: AnswerFields, nowMs: number): void {
+export function learnFromAnswer(backend: Backend, {load, coldForMs}: AnswerFields, nowMs: number): void {
 	if (load !== undefined) {
 		backend.report(load, nowMs);
 	}
 
-	if (coldRemainingMs !== undefined) {
-		backend.coldFor(coldRemainingMs, nowMs);
+	if (coldForMs !== undefined) {
+		backend.coldFor(coldForMs, nowMs);
 	}
 }
 
--- a/packages/gateway/src/forward/header-dialect.ts
+++ b/packages/gateway/src/forward/header-dialect.ts
@@ -35,7 +35,7 @@
 	readonly load: ReportedLoad | undefined;
 	readonly server: string | undefined;
 	/** How much longer the server stays cold, in milliseconds; undefined if it does not say. */
-	readonly coldRemainingMs: number | undefined;
+	readonly coldForMs: number | undefined;
 };
 
 /** Headers by name in lower case. */
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -279,7 +279,7 @@
 test('a cold server gets no more than this VM\'s allowance', async t => {
 	// Guards against crashing a server that has just started.
 	const store = storeWith(configuration(1, {workspaces: [workspace('acme')]}));
-	const server = await addBackend(t, store, {id: 's1', coldRemainingMs: 3000, slots: 100});
+	const server = await addBackend(t, store, {id: 's1', coldForMs: 3000, slots: 100});
 	const {call} = await start(t, {store});
 	const responses = await Promise.all(Array.from({length: 40}, async () => call('/check/1')));
 	t.true(server.requests.length <= (6 * 1.5) + 5);
--- a/packages/gateway/src/model/records.ts
+++ b/packages/gateway/src/model/records.ts
@@ -15,7 +15,7 @@
 	readonly slots: number;
 	readonly state: BackendState;
 	/** How much longer it stays cold, as of the write, in milliseconds. */
-	readonly coldRemainingMs: number;
+	readonly coldForMs: number;
 	/** Wall-clock time of its start; tells two starts under one id apart. */
 	readonly startedAtMs: number;
 };
--- a/packages/gateway/src/placement/backend.ts
+++ b/packages/gateway/src/placement/backend.ts
@@ -62,7 +62,7 @@
 
 	constructor(known: KnownBackend, readonly region: string, readonly connections: ConnectionSet) {
 		this.#known = known;
-		this.coldFor(known.record.coldRemainingMs, known.seenAtMs);
+		this.coldFor(known.record.coldForMs, known.seenAtMs);
 	}
 
 	get id(): string {
@@ -102,7 +102,7 @@
 		}
 
 		if (known.record !== this.#known.record) {
-			this.coldFor(known.record.coldRemainingMs, known.seenAtMs);
+			this.coldFor(known.record.coldForMs, known.seenAtMs);
 		}
 
 		this.#known = known;
--- a/packages/gateway/src/placement/prober.ts
+++ b/packages/gateway/src/placement/prober.ts
@@ -49,13 +49,13 @@
 		try {
 			const response = await request(`http://${address}${healthPathOf(service) ?? '/'}`, {dispatcher, signal: AbortSignal.timeout(probeMs), reset: true});
 			await response.body.dump();
-			const {server, coldRemainingMs} = dialect.readAnswer(response.statusCode, response.headers);
+			const {server, coldForMs} = dialect.readAnswer(response.statusCode, response.headers);
 			if (server !== undefined && server !== backend.id) {
 				placer.misdirected(backend);
 			} else if (response.statusCode === 200) {
-				backend.coldFor(coldRemainingMs ?? 0, timers.nowMs());
+				backend.coldFor(coldForMs ?? 0, timers.nowMs());
 				backend.send(HealthEvent.probeSucceeded);
-				logger.info({event: 'backend-up', server: backend.id, coldRemainingMs}, 'backend server answers again');
+				logger.info({event: 'backend-up', server: backend.id, coldForMs}, 'backend server answers again');
 				onRoom();
 			}
 		} catch (error) {
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -116,7 +116,7 @@
 			const known = this.#backends.get(name);
 			if (known?.record.state !== record.state || known.record.startedAtMs !== record.startedAtMs) {
 				logger.info({
-					event: 'backend', server: name, service: record.service, failureDomain: record.failureDomain, state: record.state, coldRemainingMs: record.coldRemainingMs,
+					event: 'backend', server: name, service: record.service, failureDomain: record.failureDomain, state: record.state, coldForMs: record.coldForMs,
 				}, 'backend server changed');
 			}
 
--- a/packages/gateway/src/testing/fixtures.ts
+++ b/packages/gateway/src/testing/fixtures.ts
@@ -16,7 +16,7 @@
 /** A ready server that is not cold. */
 export function backendRecord(id: string, changes: Partial<BackendRecord> = {}): BackendRecord {
 	return {
-		id, service: 'stock', address: '127.0.0.1:9', failureDomain: 'north-1', slots: 4, state: BackendState.ready, coldRemainingMs: 0, startedAtMs: 1, ...changes,
+		id, service: 'stock', address: '127.0.0.1:9', failureDomain: 'north-1', slots: 4, state: BackendState.ready, coldForMs: 0, startedAtMs: 1, ...changes,
 	};
 }
 
@@ -87,7 +87,7 @@
 			isProven: headers['test-proof'] !== undefined,
 			load: undefined,
 			server: text(headers['test-instance']),
-			coldRemainingMs: cold === undefined ? undefined : Number(cold),
+			coldForMs: cold === undefined ? undefined : Number(cold),
 		};
 	}
 }
