Count sendings that are still open as runs of a request

Ruled out: rejected attempts (none in the trace). An error answer now waits for the sending that is still open. The test fails without the change.

--- a/packages/gateway/src/forward/request-run.ts
+++ b/packages/gateway/src/forward/request-run.ts
@@ -302,6 +302,12 @@
 			backend.outcome(isFailure, undefined, nowMs);
 		}
 
+		if (isFailure && this.#sendings.count > 0) {
+			// Another server is still at work on the request.
+			this.#fallback = {sending, head};
+			return;
+		}
+
 		if (isFailure && this.#allowsRetry(FailureKind.serverError)) {
 			this.#fallback = {sending, head};
 			this.#again();
@@ -366,7 +372,7 @@
 		}
 
 		const isAllowed = mayRetry({
-			kind, isRepeatable: route.isRepeatable, runs: Math.max(this.#runs, this.#sendings.count), attempts: this.#attempts, maxAttempts: route.maxAttempts, timeLeftMs: this.#timeLeftMs, expectedMs: this.#expectedMs,
+			kind, isRepeatable: route.isRepeatable, runs: this.#runs + this.#sendings.count, attempts: this.#attempts, maxAttempts: route.maxAttempts, timeLeftMs: this.#timeLeftMs, expectedMs: this.#expectedMs,
 		});
 		return isAllowed && this.context.budgets.of(service).take();
 	}
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -174,6 +174,23 @@
 	t.is(await statusOf(call('/check/1')), 200);
 });
 
+test('a request that was sent to a second server while the first is silent goes to no third one', async t => {
+	// Guards against more runs than the route allows: the silent server may still be at work when the second one fails.
+	const store = storeWith(configuration(1));
+	let arrivals = 0;
+	const answering: Answering = (socket, request) => {
+		arrivals++;
+		if (arrivals > 1) {
+			socket.write(`HTTP/1.1 500 Broken\r\ntest-id: ${headerOf(request, 'test-id')}\r\ntest-proof: 1\r\ncontent-length: 4\r\n\r\noops`);
+		}
+	};
+
+	await Promise.all(['s1', 's2', 's3'].map(async id => addBackend(t, store, {id, answering})));
+	const {call} = await start(t, {store});
+	t.is(await statusOf(call('/check/1')), 500);
+	t.is(arrivals, 2);
+});
+
 const brokenAnswers: Record<string, Answering> = {
 	'belongs to another request'(socket) {
 		socket.write('HTTP/1.1 200 OK\r\ntest-id: another\r\ntest-proof: 1\r\ncontent-length: 2\r\n\r\nok');
