Give tests one title in all runs

Ruled out: missing or skipped tests; each of the titles is in the log with 'packages › ' before it. Before: 'npm test' exits with 1. After: not run as a whole yet; a test of the title guards it.

--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -7,6 +7,7 @@
 import process from 'node:process';
 import {createInterface} from 'node:readline';
 import {evaluateMatrix, parseMatrix} from '../packages/bench/dist/fault-matrix/matrix.js';
+import {testTitle} from '../packages/bench/dist/fault-matrix/test-title.js';
 
 // Tests of whole deployments run on the system clock, and tests with controlled time use a core fully; when they
 // shared the machine, heartbeats were late and VMs judged each other dead.
@@ -35,9 +36,10 @@
 	for await (const line of createInterface({input})) {
 		const match = /^(?<not>not )?ok \d+ - (?<title>.*?)(?: # (?<directive>SKIP|TODO).*)?$/.exec(line);
 		if (match) {
-			const {not, title, directive} = match.groups;
+			const {not, directive} = match.groups;
+			const title = testTitle(match.groups.title.replaceAll(String.raw`\#`, '#'));
 			const state = directive ? 'skipped' : (not ? 'failed' : 'passed');
-			results.push({title: title.replaceAll(String.raw`\#`, '#'), state});
+			results.push({title, state});
 			inFailure = state === 'failed';
 			process.stdout.write(`${state === 'passed' ? '  ok' : `  ${state.toUpperCase()}`} ${title}\n`);
 		} else if (inFailure && !line.startsWith('1..')) {
