--- a/packages/gateway/src/forward/admitted-request.ts
+++ b/packages/gateway/src/forward/admitted-request.ts
@@ -17,3 +17,8 @@
 	/** When the answer has to be there. */
 	readonly deadlineAtMs: number;
 };
+
+/** Key of the object that the request is about, if its route keeps requests for one object at one server. */
+export function affinityKeyOf({route, fields}: AdmittedRequest): string | undefined {
+	return route.hasAffinity ? fields.affinityKey : undefined;
+}
--- a/packages/gateway/src/forward/request-run.ts
+++ b/packages/gateway/src/forward/request-run.ts
@@ -1,35 +1,33 @@
 import {Buffer} from 'node:buffer';
 import {
-	ResultCode, resultCodeName, resultCodeTable, type Cancel,
+	ResultCode, resultCodeTable, type Cancel,
 } from '@fescuewick/core';
-import {Attempt, type AnswerHead} from '@fescuewick/entry/http';
-import {admittedWaitMs, retryAfterMs} from '../admission/admission.js';
+import {type AnswerHead} from '@fescuewick/entry/http';
+import {retryAfterMs} from '../admission/admission.js';
 import {type ActiveRequest} from '../admission/waiting-lines.js';
 import {homesOf, NoPlacement, type Placement} from '../placement/placer.js';
-import {type AdmittedRequest} from './admitted-request.js';
-import {problemOf} from './answer-check.js';
+import {affinityKeyOf, type AdmittedRequest} from './admitted-request.js';
+import {AnswerKind, answerProblem, judgeAnswer} from './answer-verdict.js';
 import {AnswerWriter} from './answer-writer.js';
-import {learnFromAnswer, learnFromRejection} from './backend-feedback.js';
 import {sendError} from './error-answer.js';
 import {type ForwardingContext} from './forwarding-context.js';
-import {outgoingHeaders} from './outgoing-headers.js';
+import {summarize} from './request-summary.js';
 import {FailureKind, mayRetry} from './retry-policy.js';
-import {Sendings, type Sending} from './sendings.js';
-import {SlotWait} from './slot-wait.js';
+import {
+	isReplayable, openSending, transmit, type Sending, type SendingListener,
+} from './sending.js';
+import {Sendings} from './sendings.js';
+import {SlotWait, slotWaitLimitMs} from './slot-wait.js';
 
 /** Answers up to this size are held until they are complete, so that a broken one can be replaced; longer ones are passed on as they come. */
 const maxHeldBytes = 262_144;
-/** A connection for a request that may not be repeated must have proved alive within this time, in milliseconds. */
-const provenWithinMs = 500;
 /** A request that takes this many times its usual duration may be sent to a second server as well. */
 const rescueFactor = 4;
 /** Shortest time after which that is done, in milliseconds. */
 const minRescueMs = 1000;
-/** Latencies under this say nothing about a server's speed, in milliseconds. */
-const minMeasuredMs = 20;
 
 /** Leads one request to its answer: waits for a slot, sends it, sends it again where that is safe, and answers once. */
-export class RequestRun implements ActiveRequest {
+export class RequestRun implements ActiveRequest, SendingListener {
 	readonly priority: number;
 	readonly #excluded = new Set<string>();
 	readonly #sendings: Sendings;
@@ -66,7 +64,7 @@
 		const {timers, lines, placer, work, random} = this.context;
 		work.arrived(service);
 		// Requests with homes stay in them; the others are dealt out to regions.
-		this.#region = this.#homes === undefined ? placer.regionFor(service, this.#affinityKey, random()) : undefined;
+		this.#region = this.#homes === undefined ? placer.regionFor(service, affinityKeyOf(this.admitted), random()) : undefined;
 		response.once('close', () => {
 			if (!response.writableFinished) {
 				this.#leave();
@@ -107,7 +105,7 @@
 
 	#place(): Placement | NoPlacement {
 		return this.context.placer.place({
-			service: this.admitted.service, affinityKey: this.#affinityKey, homeRegions: this.#homes, excluded: this.#excluded, region: this.#region,
+			service: this.admitted.service, affinityKey: affinityKeyOf(this.admitted), homeRegions: this.#homes, excluded: this.#excluded, region: this.#region,
 		});
 	}
 
@@ -116,10 +114,6 @@
 		this.#giveUp(this.#runs > 0 ? ResultCode.backendCut : ResultCode.draining, 'the VM stops');
 	}
 
-	get #affinityKey(): string | undefined {
-		return this.admitted.route.hasAffinity ? this.admitted.fields.affinityKey : undefined;
-	}
-
 	get #timeLeftMs(): number {
 		return this.admitted.deadlineAtMs - this.context.timers.nowMs();
 	}
@@ -130,17 +124,7 @@
 	}
 
 	#enterLine(): void {
-		const {lines, placer, latency, timers} = this.context;
-		const {service, route} = this.admitted;
-		const line = lines.of(service);
-		const waitMs = admittedWaitMs({
-			ahead: line.ahead(this.priority),
-			slots: placer.slotsInRegion(service),
-			serviceMs: latency.typicalMs(service, route.targetMs / 2),
-			expectedMs: this.#expectedMs,
-			targetMs: Math.max(0, route.targetMs - (timers.nowMs() - this.arrivedAtMs)),
-			timeLeftMs: this.#timeLeftMs,
-		});
+		const waitMs = slotWaitLimitMs(this.admitted, this.context, this.priority, this.#expectedMs);
 		if (waitMs <= 0) {
 			this.#giveUp(ResultCode.queueFull, 'no slot in time');
 			return;
@@ -152,53 +136,30 @@
 	}
 
 	#send(placement: Placement): void {
-		const {timers, dialect, budgets} = this.context;
-		const {request, fields, id, route, workspace, service, body} = this.admitted;
+		const {timers, budgets} = this.context;
 		const {backend} = placement;
-		const isReplayable = body.rest === undefined;
-		const connection = backend.connections.acquire(route.isRepeatable && isReplayable ? undefined : provenWithinMs);
-		if (connection === undefined) {
-			this.#excluded.add(backend.id);
+		const nowMs = timers.nowMs();
+		const sending = openSending(this.admitted, backend, nowMs, this);
+		this.#excluded.add(backend.id);
+		if (sending === undefined) {
 			this.#next(FailureKind.notRun, ResultCode.noBackend, 'no connection is left');
 			return;
 		}
 
-		const nowMs = timers.nowMs();
 		this.#placement = placement;
 		this.#lastServer = backend.id;
 		if (this.#attempts === 0) {
-			budgets.of(service).first();
+			budgets.of(this.admitted.service).first();
 		}
 
 		this.#attempts++;
-		this.#excluded.add(backend.id);
 		if (backend.isCold(nowMs)) {
 			backend.coldSent.add(nowMs);
 		}
 
-		const attempt = new Attempt(connection, {
-			onHead: () => undefined,
-			onData: (_attempt, chunk) => this.#onData(sending, chunk),
-			onEnd: () => {
-				this.#onEnd(sending);
-			},
-			onFail: (_attempt, error) => {
-				this.#onFail(sending, error);
-			},
-		});
-		const sending: Sending = {
-			attempt, backend, sentAtMs: nowMs, chunks: [], sizeBytes: 0, isStreaming: false,
-		};
 		this.#sendings.add(sending);
-		attempt.send({
-			method: request.method!,
-			path: request.url!,
-			headers: outgoingHeaders(request, fields.key, dialect, {
-				id, timeLeftMs: Math.max(1, Math.floor(this.#timeLeftMs)), workspace: workspace?.name, server: backend.id,
-			}),
-			body: body.rest ?? (body.held.length > 0 ? body.held : undefined),
-		});
-		if (route.isRepeatable && isReplayable) {
+		transmit(sending, this.admitted, this.context, this.#timeLeftMs);
+		if (this.admitted.route.isRepeatable && isReplayable(this.admitted)) {
 			this.#scheduleRescue(sending);
 		}
 	}
@@ -221,26 +182,23 @@
 		}));
 	}
 
-	#onData(sending: Sending, chunk: Buffer): boolean {
-		sending.sizeBytes += chunk.length;
-		if (!sending.isStreaming) {
-			sending.chunks.push(Buffer.from(chunk));
-			if (sending.sizeBytes <= maxHeldBytes) {
-				return true;
-			}
-
-			return this.#beginStream(sending);
+	/** A piece of an answer has arrived. */
+	onData(sending: Sending, chunk: Buffer): boolean {
+		if (sending.isStreaming) {
+			return this.#pass(sending, chunk);
 		}
 
-		return this.#pass(sending, chunk);
+		sending.chunks.push(Buffer.from(chunk));
+		sending.sizeBytes += chunk.length;
+		return sending.sizeBytes <= maxHeldBytes || this.#beginStream(sending);
 	}
 
 	/** Starts to pass on a long answer; the other attempts end. */
 	#beginStream(sending: Sending): boolean {
-		const problem = this.#problemOf(sending);
+		const problem = answerProblem(sending, this.admitted, this.context);
 		if (problem !== undefined) {
 			sending.attempt.cancel();
-			this.#onFail(sending, new Error(problem));
+			this.onFail(sending, new Error(problem));
 			return false;
 		}
 
@@ -258,13 +216,10 @@
 		});
 	}
 
-	#onEnd(sending: Sending): void {
-		const {timers, dialect, latency} = this.context;
-		const {route, service} = this.admitted;
+	/** An answer has arrived whole. */
+	onEnd(sending: Sending): void {
 		const {backend, attempt} = sending;
 		const head = attempt.head!;
-		const nowMs = timers.nowMs();
-		const answer = dialect.readAnswer(head.status, head.headers);
 		this.#sendings.finish(sending);
 		if (sending.isStreaming) {
 			backend.connections.release(attempt.connection);
@@ -273,58 +228,46 @@
 			return;
 		}
 
-		const problem = this.#problemOf(sending);
-		if (problem !== undefined) {
-			backend.connections.discard(attempt.connection);
-			this.#runs++;
-			backend.outcome(true, undefined, nowMs);
-			this.#next(FailureKind.unknown, ResultCode.backendMalformed, problem);
-			return;
-		}
+		const {kind, reason} = judgeAnswer(sending, this.admitted, this.context, this.#expectedMs);
+		switch (kind) {
+			case AnswerKind.broken: {
+				this.#runs++;
+				this.#next(FailureKind.unknown, ResultCode.backendMalformed, reason);
+				break;
+			}
 
-		backend.connections.release(attempt.connection);
-		learnFromAnswer(backend, answer, nowMs);
-		if (answer.isNotRun || answer.isMisdirected) {
-			this.#next(FailureKind.notRun, ResultCode.backendShed, learnFromRejection(backend, answer, this.context.placer, nowMs));
-			return;
-		}
+			case AnswerKind.rejected: {
+				this.#next(FailureKind.notRun, ResultCode.backendShed, reason);
+				break;
+			}
 
-		this.#runs++;
-		const durationMs = nowMs - sending.sentAtMs;
-		const isFailure = head.status >= 500;
-		if (!isFailure && durationMs > minMeasuredMs) {
-			const usualMs = this.#expectedMs;
-			latency.add({
-				route: route.name, service, durationMs, initialMs: route.targetMs / 2,
-			});
-			backend.outcome(false, durationMs / usualMs, nowMs);
-		} else {
-			backend.outcome(isFailure, undefined, nowMs);
-		}
+			case AnswerKind.serverError: {
+				this.#runs++;
+				this.#afterServerError(sending, head);
+				break;
+			}
 
-		if (isFailure && this.#sendings.count > 0) {
-			// Another server is still at work on the request.
-			this.#fallback = {sending, head};
-			return;
+			case AnswerKind.done: {
+				this.#runs++;
+				this.#answer(sending, head);
+			}
 		}
+	}
 
-		if (isFailure && this.#allowsRetry(FailureKind.serverError)) {
+	/** Keeps a server's error answer while another server is at work on the request or can be asked; else passes it on. */
+	#afterServerError(sending: Sending, head: AnswerHead): void {
+		if (this.#sendings.count > 0) {
+			this.#fallback = {sending, head};
+		} else if (this.#allowsRetry(FailureKind.serverError)) {
 			this.#fallback = {sending, head};
 			this.#again();
-			return;
+		} else {
+			this.#answer(sending, head);
 		}
-
-		this.#answer(sending, head);
 	}
 
-	#problemOf({attempt}: Sending): string | undefined {
-		const head = attempt.head!;
-		return problemOf({
-			head, fields: this.context.dialect.readAnswer(head.status, head.headers), end: attempt.connection.end, requestId: this.admitted.id,
-		});
-	}
-
-	#onFail(sending: Sending, error: Error): void {
+	/** A sending broke off. */
+	onFail(sending: Sending, error: Error): void {
 		const {timers, placer} = this.context;
 		const {backend, attempt} = sending;
 		this.#sendings.finish(sending);
@@ -366,13 +309,9 @@
 	}
 
 	#allowsRetry(kind: FailureKind): boolean {
-		const {route, body, service} = this.admitted;
-		if (body.rest !== undefined) {
-			return false;
-		}
-
-		const isAllowed = mayRetry({
-			kind, isRepeatable: route.isRepeatable, runs: this.#runs + this.#sendings.count, attempts: this.#attempts, maxAttempts: route.maxAttempts, timeLeftMs: this.#timeLeftMs, expectedMs: this.#expectedMs,
+		const {route: {isRepeatable, maxAttempts}, service} = this.admitted;
+		const isAllowed = isReplayable(this.admitted) && mayRetry({
+			kind, isRepeatable, runs: this.#runs + this.#sendings.count, attempts: this.#attempts, maxAttempts, timeLeftMs: this.#timeLeftMs, expectedMs: this.#expectedMs,
 		});
 		return isAllowed && this.context.budgets.of(service).take();
 	}
@@ -395,12 +334,8 @@
 	}
 
 	#expire(): void {
-		if (this.#sendings.count === 0) {
-			this.#giveUp(this.#runs > 0 ? ResultCode.backendCut : ResultCode.deadlineUnreachable, 'the time is over');
-			return;
-		}
-
-		this.#giveUp(this.#sendings.mayHaveRun || this.#runs > 0 ? ResultCode.backendTimeout : ResultCode.deadlineUnreachable, 'the time is over');
+		const code = this.#sendings.count === 0 ? ResultCode.backendCut : ResultCode.backendTimeout;
+		this.#giveUp(this.#sendings.mayHaveRun || this.#runs > 0 ? code : ResultCode.deadlineUnreachable, 'the time is over');
 	}
 
 	/** Ends the request with an answer of the system. */
@@ -446,26 +381,15 @@
 			cancel();
 		}
 
-		const {context, admitted: {id, route, workspace, service, arrivedAtMs}} = this;
-		const placement = this.#placement;
-		context.finished(this, {
-			id,
-			route: route.name,
-			service,
-			workspace: workspace?.name,
+		this.context.finished(this, summarize(this.admitted, {
 			code,
-			outcome: resultCodeName(code),
 			status,
 			reason,
-			durationMs: Math.round(context.timers.nowMs() - arrivedAtMs),
-			waitedMs: Math.round(this.#wait.waitedMs),
+			waitedMs: this.#wait.waitedMs,
 			attempts: this.#attempts,
 			server: this.#lastServer,
-			placed: placement?.reason,
-			load: placement && Math.round(placement.load * 10) / 10,
-			isRemote: placement?.isRemote,
-			expectedMs: Math.round(this.#expectedMs),
-			configuration: context.configurationVersion(),
-		});
+			placement: this.#placement,
+			expectedMs: this.#expectedMs,
+		}, this.context));
 	}
 }
--- /dev/null
+++ b/packages/gateway/src/forward/request-summary.ts
@@ -0,0 +1,41 @@
+import {resultCodeName, type ResultCode} from '@fescuewick/core';
+import {type Placement} from '../placement/placer.js';
+import {type AdmittedRequest} from './admitted-request.js';
+import {type ForwardingContext, type RequestSummary} from './forwarding-context.js';
+
+/** How a request ended. */
+export type RequestEnd = {
+	readonly code: ResultCode;
+	readonly status: number | undefined;
+	readonly reason: string | undefined;
+	readonly waitedMs: number;
+	readonly attempts: number;
+	/** The server that it was sent to last. */
+	readonly server: string | undefined;
+	readonly placement: Placement | undefined;
+	readonly expectedMs: number;
+};
+
+/** What is logged of a finished request: what decided it, and the outcome. */
+export function summarize({id, route, workspace, service, arrivedAtMs}: AdmittedRequest, end: RequestEnd, {timers, configurationVersion}: ForwardingContext): RequestSummary {
+	const {code, status, reason, attempts, server, placement} = end;
+	return {
+		id,
+		route: route.name,
+		service,
+		workspace: workspace?.name,
+		code,
+		outcome: resultCodeName(code),
+		status,
+		reason,
+		durationMs: Math.round(timers.nowMs() - arrivedAtMs),
+		waitedMs: Math.round(end.waitedMs),
+		attempts,
+		server,
+		placed: placement?.reason,
+		load: placement && Math.round(placement.load * 10) / 10,
+		isRemote: placement?.isRemote,
+		expectedMs: Math.round(end.expectedMs),
+		configuration: configurationVersion(),
+	};
+}
--- /dev/null
+++ b/packages/gateway/src/forward/sending.ts
@@ -0,0 +1,69 @@
+import {type Buffer} from 'node:buffer';
+import {Attempt} from '@fescuewick/entry/http';
+import {type Backend} from '../placement/backend.js';
+import {type AdmittedRequest} from './admitted-request.js';
+import {type ForwardingContext} from './forwarding-context.js';
+import {outgoingHeaders} from './outgoing-headers.js';
+
+/** A connection for a request that may not be repeated must have proved alive within this time, in milliseconds. */
+const provenWithinMs = 500;
+
+/** One sending of a request and what came back so far. */
+export type Sending = {
+	readonly attempt: Attempt;
+	readonly backend: Backend;
+	readonly sentAtMs: number;
+	chunks: Buffer[];
+	sizeBytes: number;
+	/** The answer is passed on as it comes. */
+	isStreaming: boolean;
+};
+
+/** Receives what comes back for a sending; after `onEnd` or `onFail` nothing more comes. */
+export type SendingListener = {
+	/** Returns false to pause the answer until the attempt is resumed. */
+	onData(sending: Sending, chunk: Buffer): boolean;
+	onEnd(sending: Sending): void;
+	onFail(sending: Sending, error: Error): void;
+};
+
+/** Whether a request can be sent again after its body has been sent: all of it is held. */
+export function isReplayable({body}: AdmittedRequest): boolean {
+	return body.rest === undefined;
+}
+
+/** Takes a connection to a server for a request; undefined if none is left. Nothing is sent yet. */
+export function openSending(admitted: AdmittedRequest, backend: Backend, nowMs: number, listener: SendingListener): Sending | undefined {
+	const mayRepeat = admitted.route.isRepeatable && isReplayable(admitted);
+	const connection = backend.connections.acquire(mayRepeat ? undefined : provenWithinMs);
+	if (connection === undefined) {
+		return undefined;
+	}
+
+	const attempt = new Attempt(connection, {
+		onHead: () => undefined,
+		onData: (_attempt, chunk) => listener.onData(sending, chunk),
+		onEnd() {
+			listener.onEnd(sending);
+		},
+		onFail(_attempt, error) {
+			listener.onFail(sending, error);
+		},
+	});
+	const sending: Sending = {
+		attempt, backend, sentAtMs: nowMs, chunks: [], sizeBytes: 0, isStreaming: false,
+	};
+	return sending;
+}
+
+/** Sends the request; a failure may be reported to the listener before this returns. */
+export function transmit({attempt, backend}: Sending, {request, fields, id, workspace, body}: AdmittedRequest, {dialect}: Pick<ForwardingContext, 'dialect'>, timeLeftMs: number): void {
+	attempt.send({
+		method: request.method!,
+		path: request.url!,
+		headers: outgoingHeaders(request, fields.key, dialect, {
+			id, timeLeftMs: Math.max(1, Math.floor(timeLeftMs)), workspace: workspace?.name, server: backend.id,
+		}),
+		body: body.rest ?? (body.held.length > 0 ? body.held : undefined),
+	});
+}
--- a/packages/gateway/src/forward/sendings.ts
+++ b/packages/gateway/src/forward/sendings.ts
@@ -1,17 +1,4 @@
-import {type Buffer} from 'node:buffer';
-import {type Attempt} from '@fescuewick/entry/http';
-import {type Backend} from '../placement/backend.js';
-
-/** One sending of a request and what came back so far. */
-export type Sending = {
-	readonly attempt: Attempt;
-	readonly backend: Backend;
-	readonly sentAtMs: number;
-	chunks: Buffer[];
-	sizeBytes: number;
-	/** The answer is passed on as it comes. */
-	isStreaming: boolean;
-};
+import {type Sending} from './sending.js';
 
 /** The sendings of a request that have not ended. */
 export class Sendings {
--- a/packages/gateway/src/forward/slot-wait.ts
+++ b/packages/gateway/src/forward/slot-wait.ts
@@ -1,6 +1,22 @@
 import {type Cancel, type TimerService} from '@fescuewick/core';
+import {admittedWaitMs} from '../admission/admission.js';
 import {type WaitingLine} from '../admission/waiting-line.js';
 import {type ActiveRequest} from '../admission/waiting-lines.js';
+import {type AdmittedRequest} from './admitted-request.js';
+import {type ForwardingContext} from './forwarding-context.js';
+
+/** Longest time in milliseconds that a request may wait for a slot now; 0 or less if it cannot be served in time. */
+export function slotWaitLimitMs({service, route, arrivedAtMs, deadlineAtMs}: AdmittedRequest, {lines, placer, latency, timers}: ForwardingContext, priority: number, expectedMs: number): number {
+	const nowMs = timers.nowMs();
+	return admittedWaitMs({
+		ahead: lines.of(service).ahead(priority),
+		slots: placer.slotsInRegion(service),
+		serviceMs: latency.typicalMs(service, route.targetMs / 2),
+		expectedMs,
+		targetMs: Math.max(0, route.targetMs - (nowMs - arrivedAtMs)),
+		timeLeftMs: deadlineAtMs - nowMs,
+	});
+}
 
 /** A request's time in the waiting line of its service. */
 export class SlotWait {
