Tell callers of a workspace beyond its rate to come back later

Cause: the Retry-After of rateExceeded was the time to the next token, 200 ms at least; a workspace that asked for 5.5 times its rate came back with the same requests every 200 ms, and most were refused again. Change: while a workspace asks for more than its rate, the time is that of other refusals, a quarter of the time that the caller has left, spread out.

--- a/packages/gateway/src/limits/fleet-bucket.ts
+++ b/packages/gateway/src/limits/fleet-bucket.ts
@@ -113,11 +113,16 @@
 	Not while the workspace asks for more than its rate: requests that found no server would be replaced by others at once, and the surplus would crowd out the workspaces that keep to their rates.
 	*/
 	giveBack(askedPerS: number): void {
-		if (this.#totalAskedPerS(askedPerS) <= this.#limits.ratePerS && this.#unsettled.pop() !== undefined) {
+		if (!this.isOverRate(askedPerS) && this.#unsettled.pop() !== undefined) {
 			this.#passed--;
 		}
 	}
 
+	/** Whether all VMs together are asked for more than the rate, given the rate at which this VM is asked. */
+	isOverRate(askedPerS: number): boolean {
+		return this.#totalAskedPerS(askedPerS) > this.#limits.ratePerS;
+	}
+
 	/** Requests that this VM may pass before its peers know of them. */
 	allowance(askedPerS: number): number {
 		const tokens = Math.max(0, this.#tokens);
--- a/packages/gateway/src/limits/workspace-limiter.ts
+++ b/packages/gateway/src/limits/workspace-limiter.ts
@@ -92,6 +92,12 @@
 		return waitMs === 0 ? 0 : Math.min(maxRetryMs, Math.max(minRetryMs, waitMs));
 	}
 
+	/** Whether a workspace asks for more than its rate over all VMs. */
+	isOverRate(workspace: string): boolean {
+		const entry = this.#entries.get(workspace);
+		return entry !== undefined && entry.limits.ratePerS > 0 && entry.bucket.isOverRate(entry.askedPerS);
+	}
+
 	/** Takes back a request that was passed and did not run; no effect for a workspace that asks for more than its rate. */
 	giveBack(workspace: string): void {
 		const entry = this.#entries.get(workspace);
--- a/packages/gateway/src/server/request-handler.ts
+++ b/packages/gateway/src/server/request-handler.ts
@@ -1,6 +1,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {ResultCode, resultCodeName, toFescuewickError} from '@fescuewick/core';
 import {hasBody, noBody, readBody} from '@fescuewick/entry/http';
+import {retryAfterMs} from '../admission/admission.js';
 import {type ActiveRequest} from '../admission/waiting-lines.js';
 import {type ForwardingContext} from '../forward/forwarding-context.js';
 import {type RequestFields} from '../forward/header-dialect.js';
@@ -42,7 +43,7 @@
 
 		const {route, workspace} = admission;
 		const {limits} = this.configuration()!.configuration;
-		const timeoutMs = Math.min(route.timeoutMs, fields.timeLeftMs ?? Number.POSITIVE_INFINITY);
+		const timeoutMs = timeOf(route, fields);
 		try {
 			const body = hasBody(request) ? await readBody(request, {maxBodyBytes: limits.maxBodyBytes, maxReplayBytes, bodyTimeMs: timeoutMs}, timers) : noBody;
 			const id = fields.id ?? this.#newId();
@@ -97,8 +98,11 @@
 				return {code: ResultCode.keyUnknown};
 			}
 
-			const retryMs = this.context.limiter.take(workspace.name);
-			if (retryMs > 0) {
+			const waitMs = this.context.limiter.take(workspace.name);
+			if (waitMs > 0) {
+				const timeLeftMs = timeOf(route, fields);
+				// Whoever comes back soon to a workspace that asks for more than its rate meets the same refusal.
+				const retryMs = this.context.limiter.isOverRate(workspace.name) ? Math.max(waitMs, retryAfterMs(timeLeftMs, this.context.random())) : waitMs;
 				return {code: ResultCode.rateExceeded, retryMs, workspace: workspace.name};
 			}
 		}
@@ -148,3 +152,8 @@
 		return `${Math.floor(this.context.random() * (2 ** 48)).toString(16)}-${this.#sequence}`;
 	}
 }
+
+/** Time in which a request must have its answer, in milliseconds. */
+function timeOf(route: Route, {timeLeftMs}: RequestFields): number {
+	return Math.min(route.timeoutMs, timeLeftMs ?? Number.POSITIVE_INFINITY);
+}
