Remember the mean of other VMs' requests at a backend server

A VM halved what an answer told of other VMs' requests every 400 ms, so all eight took the server for free when it had not answered for a second. Requests that run into their limit warm no cache, so the server stayed cold. Change: OthersLoad keeps a mean over about a second, and only the difference to it is forgotten quickly.

--- a/packages/gateway/src/placement/backend.ts
+++ b/packages/gateway/src/placement/backend.ts
@@ -4,6 +4,7 @@
 import {BackendState, type BackendRecord} from '../model/records.js';
 import {type KnownBackend} from '../state/fleet-state.js';
 import chart from './backend-health.chart.json' with {type: 'json'};
+import {OthersLoad} from './others-load.js';
 
 /** Events of the chart of a backend server's health. */
 export enum HealthEvent {
@@ -27,8 +28,6 @@
 export type ReportedLoad = {readonly running: number; readonly waiting: number};
 
 const healthChart = chart as Chart;
-/** Halving time of what is known of other VMs' requests at a server, in milliseconds; about the duration of a request. */
-const othersHalfLifeMs = 400;
 /** Time over which failures are weighed, in milliseconds. */
 const outcomeWindowMs = 3000;
 /** From this many outcomes on a failure rate says something. */
@@ -52,8 +51,7 @@
 	#known: KnownBackend;
 	#health = HealthState.healthy;
 	#coldUntilMs = 0;
-	#others = 0;
-	#othersAtMs = 0;
+	readonly #others = new OthersLoad();
 	#shedUntilMs = 0;
 	#outcomes: Array<{atMs: number; isFailure: boolean}> = [];
 	#slowness = 1;
@@ -98,7 +96,7 @@
 			this.send(HealthEvent.restarted);
 			this.#outcomes = [];
 			this.#slownessCount = 0;
-			this.#others = 0;
+			this.#others.reset();
 		}
 
 		if (known.record !== this.#known.record) {
@@ -136,13 +134,12 @@
 			return Math.max(this.inFlight, this.slots);
 		}
 
-		return this.inFlight + (this.#others * (0.5 ** ((nowMs - this.#othersAtMs) / othersHalfLifeMs)));
+		return this.inFlight + this.#others.estimate(nowMs);
 	}
 
 	/** Takes in the load that came with an answer; called after the answered request left `inFlight`. */
 	report({running, waiting}: ReportedLoad, nowMs: number): void {
-		this.#others = Math.max(0, running + waiting - this.inFlight - 1);
-		this.#othersAtMs = nowMs;
+		this.#others.report(Math.max(0, running + waiting - this.inFlight - 1), nowMs);
 	}
 
 	/** It rejected a request without running it. */
