Count work that homes bind to a region before its other callers

Ruled out: the limit of moves between regions (the targets themselves were too small). Change: VMs tell bound work by region next to free work; a region's bound work takes its slots first, its other callers leave as far as others have room. The heartbeat's format has version 2. Tests: a small region that is the home of a large workspace moves its own callers (fails before), and takes no guests.

--- a/packages/gateway/src/forward/request-run.ts
+++ b/packages/gateway/src/forward/request-run.ts
@@ -5,7 +5,9 @@
 import {type AnswerHead} from '@fescuewick/entry/http';
 import {retryAfterMs} from '../admission/admission.js';
 import {type ActiveRequest} from '../admission/waiting-lines.js';
-import {homesOf, NoPlacement, type Placement} from '../placement/placer.js';
+import {
+	boundRegion, homesOf, NoPlacement, type Placement,
+} from '../placement/placer.js';
 import {affinityKeyOf, type AdmittedRequest} from './admitted-request.js';
 import {AnswerKind, answerProblem, judgeAnswer} from './answer-verdict.js';
 import {AnswerWriter} from './answer-writer.js';
@@ -62,7 +64,7 @@
 	start(): void {
 		const {response, deadlineAtMs, service} = this.admitted;
 		const {timers, lines, placer, work, random} = this.context;
-		work.arrived(service);
+		work.arrived(service, boundRegion(this.#homes, placer.region));
 		// Requests with homes stay in them; the others are dealt out to regions.
 		this.#region = this.#homes === undefined ? placer.regionFor(service, affinityKeyOf(this.admitted), random()) : undefined;
 		response.once('close', () => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,7 +19,7 @@
 import {Registration} from './peers/registration.js';
 import {Placer, type MovedParts} from './placement/placer.js';
 import {Prober} from './placement/prober.js';
-import {WorkMeter, type WorkBySlots} from './placement/work-meter.js';
+import {RegionalWork, WorkMeter, type RequestedWork} from './placement/work-meter.js';
 import {applyLimits, createFrontServer, stopFrontServer} from './server/front-server.js';
 import {RequestHandler} from './server/request-handler.js';
 import {
@@ -278,26 +278,17 @@
 		};
 	}
 
-	/** Slots needed by this VM's callers, by service. */
-	#ownWork(): WorkBySlots {
+	/** Work that this VM's callers ask for. */
+	#ownWork(): RequestedWork {
 		return this.#work.slots(service => this.#latency.typicalMs(service, initialDurationMs));
 	}
 
-	/** Slots needed by the callers of each region, by service. */
-	#workByRegion(): ReadonlyMap<string, WorkBySlots> {
-		const work = new Map<string, Record<string, number>>();
-		const add = (region: string, bySlots: WorkBySlots) => {
-			const sums = work.get(region) ?? {};
-			for (const [service, slots] of Object.entries(bySlots)) {
-				sums[service] = (sums[service] ?? 0) + slots;
-			}
-
-			work.set(region, sums);
-		};
-
-		add(this.#self.region, this.#ownWork());
+	/** Work that the callers of all VMs ask for. */
+	#workByRegion(): RegionalWork {
+		const work = new RegionalWork();
+		work.add(this.#self.region, this.#ownWork());
 		for (const heartbeat of this.#peers.alive()) {
-			add(heartbeat.record.region, heartbeat.work);
+			work.add(heartbeat.record.region, heartbeat.work);
 		}
 
 		return work;
--- a/packages/gateway/src/peers/heartbeat.test.ts
+++ b/packages/gateway/src/peers/heartbeat.test.ts
@@ -14,7 +14,7 @@
 		[Collection.configurations]: {valid: 9, changed: 4}, [Collection.backends]: {valid: 9, changed: 9}, [Collection.evacuations]: {valid: -1, changed: -1},
 	},
 	buckets: {acme: {passed: 812, askedPerS: 12.5, tokens: 30}, other: {passed: 0, askedPerS: 1, tokens: undefined}},
-	work: {stock: 3.5},
+	work: {free: {stock: 3.5}, bound: {south: {stock: 0.5, list: 2}, west: {list: 1}}},
 	movedParts: {stock: {south: 0.25, west: 0.1}, list: {south: 0.05}},
 };
 
@@ -24,7 +24,7 @@
 
 test('a datagram of another form is not a heartbeat', t => {
 	// Guards against a stray datagram ending the process.
-	for (const datagram of [Buffer.alloc(0), Buffer.from('hello'), encode([1, 2]), encode([2, 1, 1, true, [], [], [], [], []]), encode([1, 'x', 1, true, [], [], [], [], []])]) {
+	for (const datagram of [Buffer.alloc(0), Buffer.from('hello'), encode([2, 2]), encode([1, 1, 1, true, [], [], [], [], [], []]), encode([2, 'x', 1, true, [], [], [], [], [], []])]) {
 		t.is(decodeHeartbeat(datagram), undefined);
 	}
 });
--- a/packages/gateway/src/peers/heartbeat.ts
+++ b/packages/gateway/src/peers/heartbeat.ts
@@ -4,7 +4,7 @@
 import {type BucketReports} from '../limits/fleet-bucket.js';
 import {type VmRecord} from '../model/records.js';
 import {type MovedParts} from '../placement/placer.js';
-import {type WorkBySlots} from '../placement/work-meter.js';
+import {type RequestedWork, type WorkBySlots} from '../placement/work-meter.js';
 import {type ReplicaRevisions} from '../state/replica.js';
 
 /** What a VM tells its peers at short intervals. */
@@ -19,16 +19,16 @@
 	readonly revisions: Readonly<Record<string, ReplicaRevisions>>;
 	/** What it passed for each workspace with a limit. */
 	readonly buckets: BucketReports;
-	/** Slots that its callers' requests need, by service. */
-	readonly work: WorkBySlots;
+	/** Work that its callers ask for. */
+	readonly work: RequestedWork;
 	/** Parts of its callers' requests that run in other regions, by service and region. */
 	readonly movedParts: MovedParts;
 };
 
 /** Collections in the order in which their revisions travel. */
 const relayed = [Collection.configurations, Collection.backends, Collection.evacuations] as const;
-const formatVersion = 1;
-const fieldCount = 9;
+const formatVersion = 2;
+const fieldCount = 10;
 /** Rates and work travel in tenths, parts in hundredths. */
 const scale = 10;
 const partScale = 100;
@@ -47,7 +47,8 @@
 		positions,
 		[record.vm, record.failureDomain, record.region, record.entryAddress, record.peerAddress, record.heartbeatAddress],
 		Object.entries(buckets).flatMap(([workspace, {passed, askedPerS, tokens}]) => [workspace, passed, Math.round(askedPerS * scale), tokens === undefined ? null : Math.round(tokens)]),
-		Object.entries(work).flatMap(([service, slots]) => [service, Math.round(slots * scale)]),
+		flatWork(work.free),
+		Object.entries(work.bound).flatMap(([region, bound]) => groups(flatWork(bound), 2).flatMap(([service, slots]) => [region, service, slots])),
 		Object.entries(movedParts).flatMap(([service, parts]) => Object.entries(parts).flatMap(([region, part]) => [service, region, Math.round(part * partScale)])),
 	]);
 }
@@ -65,8 +66,8 @@
 		return undefined;
 	}
 
-	const [, incarnation, sequence, isReady, positions, place, buckets, work, moved] = fields as [number, number, number, boolean, number[], string[], FlatEntries, FlatEntries, FlatEntries];
-	if (typeof incarnation !== 'number' || !Array.isArray(positions) || !Array.isArray(place) || place.length !== 6 || !Array.isArray(buckets) || !Array.isArray(work) || !Array.isArray(moved)) {
+	const [, incarnation, sequence, isReady, positions, place, buckets, work, bound, moved] = fields as [number, number, number, boolean, number[], string[], FlatEntries, FlatEntries, FlatEntries, FlatEntries];
+	if (typeof incarnation !== 'number' || place?.length !== 6 || ![positions, place, buckets, work, bound, moved].every(field => Array.isArray(field))) {
 		return undefined;
 	}
 
@@ -79,11 +80,29 @@
 		isReady,
 		revisions: Object.fromEntries(relayed.map((collection, index) => [collection, {valid: positions[index * 2], changed: positions[(index * 2) + 1]}])),
 		buckets: Object.fromEntries(groups(buckets, 4).map(([workspace, passed, askedPerS, tokens]) => [String(workspace), {passed: Number(passed), askedPerS: Number(askedPerS) / scale, tokens: tokens === null ? undefined : Number(tokens)}])),
-		work: Object.fromEntries(groups(work, 2).map(([service, slots]) => [String(service), Number(slots) / scale])),
+		work: {free: readWork(work), bound: readBound(bound)},
 		movedParts: readParts(moved),
 	};
 }
 
+/** Services and their slots in turn, without those that need none. */
+function flatWork(work: WorkBySlots): FlatEntries {
+	return Object.entries(work).map(([service, slots]) => [service, Math.round(slots * scale)] as const).filter(([, slots]) => slots > 0).flat();
+}
+
+function readWork(flat: FlatEntries): WorkBySlots {
+	return Object.fromEntries(groups(flat, 2).map(([service, slots]) => [String(service), Number(slots) / scale]));
+}
+
+function readBound(flat: FlatEntries): Record<string, WorkBySlots> {
+	const bound: Record<string, Record<string, number>> = {};
+	for (const [region, service, slots] of groups(flat, 3)) {
+		bound[String(region)] = {...bound[String(region)], [String(service)]: Number(slots) / scale};
+	}
+
+	return bound;
+}
+
 function readParts(flat: FlatEntries): MovedParts {
 	const movedParts: Record<string, Record<string, number>> = {};
 	for (const [service, region, part] of groups(flat, 3)) {
--- a/packages/gateway/src/placement/backend.test.ts
+++ b/packages/gateway/src/placement/backend.test.ts
@@ -15,7 +15,7 @@
 		backend.report({running: 9, waiting: 20}, atMs);
 	}
 
-	t.true(backend.load(2500) >= 9 * 1.5, String(backend.load(2500)));
+	t.true(backend.load(2500) >= 9 * 1.5, `${backend.load(2500)}`);
 	t.true(backend.load(20_000) < 1, 'a server that is not heard of is tried again');
 });
 
--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -10,7 +10,7 @@
 import {assumeWork, regionParts, type RegionLoad} from './region-demand.js';
 import {RegionSpill} from './region-spill.js';
 import {RegionSteering} from './region-steering.js';
-import {type WorkBySlots} from './work-meter.js';
+import {type RegionalWork} from './work-meter.js';
 
 /** Longest time to open a connection to a backend server, in milliseconds; several round trips between regions. */
 const connectMs = 500;
@@ -88,6 +88,11 @@
 	return workspaceHomes.length === 0 ? routeHomes : routeHomes.filter(region => workspaceHomes.includes(region));
 }
 
+/** The region in which a request with homes runs if there is room: the VM's own if it is a home, else the first one. */
+export function boundRegion(homes: readonly string[] | undefined, own: string): string | undefined {
+	return homes?.includes(own) ? own : homes?.[0];
+}
+
 /** Holds the backend servers and chooses among them. */
 export class Placer {
 	readonly #backends = new Map<string, Backend>();
@@ -110,6 +115,11 @@
 		});
 	}
 
+	/** The region of this VM. */
+	get region(): string {
+		return this.options.region;
+	}
+
 	get backends(): Iterable<Backend> {
 		return this.#backends.values();
 	}
@@ -126,14 +136,14 @@
 	}
 
 	/** Adapts the parts of requests that run in other regions to the work of all regions' callers. */
-	steer(work: ReadonlyMap<string, WorkBySlots>, elapsedMs: number, partsOfRegion: MovedParts | undefined): void {
+	steer(work: RegionalWork, elapsedMs: number, partsOfRegion: MovedParts | undefined): void {
 		const {region, bounds, timers} = this.options;
 		const isYoung = timers.nowMs() - this.#startedAtMs < youngMs;
 		const maxStep = bounds().shiftMost * steeringPart * elapsedMs / shiftWindowMs;
 		for (const service of this.#byService.keys()) {
 			const loads = new Map<string, RegionLoad>();
 			for (const backend of this.#usable(service)) {
-				const load = loads.get(backend.region) ?? {demandSlots: work.get(backend.region)?.[service] ?? 0, slots: 0};
+				const load = loads.get(backend.region) ?? {demandSlots: work.freeOf(backend.region, service), boundSlots: work.boundTo(backend.region, service), slots: 0};
 				loads.set(backend.region, {...load, slots: load.slots + backend.slots});
 			}
 
--- a/packages/gateway/src/placement/region-demand.ts
+++ b/packages/gateway/src/placement/region-demand.ts
@@ -1,7 +1,9 @@
 /** Work and slots of one region for one service. */
 export type RegionLoad = {
-	/** Slots that the region's callers need, wherever their requests run. */
+	/** Slots that the region's callers need for requests that may run in any region. */
 	readonly demandSlots: number;
+	/** Slots that callers of all regions need for requests that have to run in this one. */
+	readonly boundSlots: number;
 	/** Slots of the region's usable servers. */
 	readonly slots: number;
 };
@@ -21,7 +23,7 @@
 	let demandSlots = 0;
 	let slots = 0;
 	for (const region of regions.values()) {
-		demandSlots += region.demandSlots;
+		demandSlots += region.demandSlots + region.boundSlots;
 		slots += region.slots;
 	}
 
@@ -33,11 +35,11 @@
 /**
 Part of a region's requests, 0 to 1, that should run in each other region.
 
-Load it answers: regions with few servers and as many callers as others. Only what exceeds the region's own slots leaves, and only as far as the others have slots left after their own callers; all regions with an excess divide these in proportion to it.
+Load it answers: regions with few servers and as many callers as others, or with workspaces bound to them by their homes. What has to run in a region has its slots first. Of the rest, only what exceeds the region's own slots leaves, and only as far as the others have slots left after their own callers; all regions with an excess divide these in proportion to it.
 */
 export function regionParts(own: string, regions: ReadonlyMap<string, RegionLoad>): ReadonlyMap<string, number> {
-	const excessOf = ({demandSlots, slots}: RegionLoad) => Math.max(0, demandSlots - (slots * localPart));
-	const spareOf = ({demandSlots, slots}: RegionLoad) => Math.max(0, (slots * guestPart) - demandSlots);
+	const excessOf = ({demandSlots, boundSlots, slots}: RegionLoad) => Math.min(demandSlots, Math.max(0, demandSlots + boundSlots - (slots * localPart)));
+	const spareOf = ({demandSlots, boundSlots, slots}: RegionLoad) => Math.max(0, (slots * guestPart) - boundSlots - demandSlots);
 	const load = regions.get(own);
 	if (load === undefined || load.demandSlots <= 0) {
 		return new Map();
--- a/packages/gateway/src/placement/region-steering.test.ts
+++ b/packages/gateway/src/placement/region-steering.test.ts
@@ -4,7 +4,7 @@
 import {RegionSteering} from './region-steering.js';
 import {WeightedTurns} from './weighted-turns.js';
 
-const load = (demandSlots: number, slots: number) => ({demandSlots, slots});
+const load = (demandSlots: number, slots: number, boundSlots = 0) => ({demandSlots, slots, boundSlots});
 
 test('a region whose callers need more than its slots moves the excess to regions with room', t => {
 	// Plays a region with a sixth of the servers and a third of the callers.
@@ -14,6 +14,15 @@
 	t.true(parts.get('large')! > parts.get('middle')!);
 });
 
+test('what has to run in a region goes before callers that may leave it', t => {
+	// Plays a region with few servers that is the home of a large workspace with callers in all regions: its other callers leave.
+	const regions = new Map([['small', load(10, 12, 16)], ['large', load(20, 48)], ['middle', load(22, 36)]]);
+	const moved = [...regionParts('small', regions).values()].reduce((sum, part) => sum + part, 0);
+	t.true(moved > 0.99, `${moved}`);
+	t.is(regionParts('large', regions).size, 0);
+	t.is(regionParts('large', new Map([['small', load(1, 12, 9)], ['large', load(47, 48)]])).size, 0, 'no guests where the bound work has the slots');
+});
+
 test('before work was measured, regions with few servers are taken to have as many callers as others', t => {
 	// Guards against a first minute in which a small region refuses what others could run.
 	const assumed = assumeWork(new Map([['small', load(0, 16)], ['large', load(0, 48)], ['middle', load(0, 32)]]));
