Let parts of regions follow their targets at once until callers come

Servers register some seconds after the VMs, when the first 3 s of a VM are over, and from then on parts moved by the step that keeps shifts of traffic small. Ruled out: the limit of shifts needs no step without traffic; the rule compares requests of two windows. Change: while no region's callers asked for work that can be measured, the step is not limited. A test guards it.

--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -7,24 +7,22 @@
 import {type FleetState} from '../state/fleet-state.js';
 import {Backend, HealthEvent} from './backend.js';
 import {chooseBackend, type Candidate, type ChoiceReason} from './choose-backend.js';
-import {assumeWork, regionParts, type RegionLoad} from './region-demand.js';
+import {
+	assumeWork, isMeasured, regionParts, type RegionLoad,
+} from './region-demand.js';
 import {RegionSpill} from './region-spill.js';
-import {RegionSteering} from './region-steering.js';
+import {largestStep, RegionSteering} from './region-steering.js';
 import {type RegionalWork} from './work-meter.js';
 
 /** Longest time to open a connection to a backend server, in milliseconds; several round trips between regions. */
 const connectMs = 500;
 /** Remembered orders of objects; the oldest half is dropped beyond this count. */
 const maxOrders = 4096;
-/** Window over which moves between regions are limited, in milliseconds. */
-const shiftWindowMs = 2000;
 /** Time after its start in which a VM takes over parts without a limit, in milliseconds; the first demand is measured and peers are heard by then. */
 const youngMs = 3000;
 /** Smallest change of the moved part that is logged. */
 const loggedStep = 0.05;
-/** Part of the limit of moves between regions that planned shifts use within a window. */
-const steeringPart = 0.5;
-/** Part of that limit that requests without room in their region use. */
+/** Part of the limit of moves between regions that requests without room in their region use. */
 const spillPart = 0.25;
 
 /** Settings of placing. */
@@ -139,7 +137,6 @@
 	steer(work: RegionalWork, elapsedMs: number, partsOfRegion: MovedParts | undefined): void {
 		const {region, bounds, timers} = this.options;
 		const isYoung = timers.nowMs() - this.#startedAtMs < youngMs;
-		const maxStep = bounds().shiftMost * steeringPart * elapsedMs / shiftWindowMs;
 		for (const service of this.#byService.keys()) {
 			const loads = new Map<string, RegionLoad>();
 			for (const backend of this.#usable(service)) {
@@ -153,7 +150,7 @@
 				// A VM without a past does what its region does; if no VM of the region has one, there is nothing to shift from.
 				steering.update(partsOfRegion === undefined ? targets : new Map(Object.entries(partsOfRegion[service] ?? {})), 1);
 			} else {
-				steering.update(targets, maxStep);
+				steering.update(targets, largestStep({isMeasured: isMeasured(loads), shiftMost: bounds().shiftMost, elapsedMs}));
 			}
 
 			this.#logSteering(service, steering, targets, loads);
--- a/packages/gateway/src/placement/region-demand.ts
+++ b/packages/gateway/src/placement/region-demand.ts
@@ -18,18 +18,28 @@
 /** Work under which none counts as measured, in slots. */
 const minMeasuredSlots = 1;
 
+/** Whether callers of any region asked for work that can be measured. */
+export function isMeasured(regions: ReadonlyMap<string, RegionLoad>): boolean {
+	let slots = 0;
+	for (const {demandSlots, boundSlots} of regions.values()) {
+		slots += demandSlots + boundSlots;
+	}
+
+	return slots >= minMeasuredSlots;
+}
+
 /** The loads with an even share of assumed work in each region, if no work was measured yet; else the loads themselves. */
 export function assumeWork(regions: ReadonlyMap<string, RegionLoad>): ReadonlyMap<string, RegionLoad> {
-	let demandSlots = 0;
+	if (isMeasured(regions)) {
+		return regions;
+	}
+
 	let slots = 0;
 	for (const region of regions.values()) {
-		demandSlots += region.demandSlots + region.boundSlots;
 		slots += region.slots;
 	}
 
-	return demandSlots >= minMeasuredSlots
-		? regions
-		: new Map([...regions].map(([name, region]) => [name, {...region, demandSlots: slots * assumedPart / regions.size}]));
+	return new Map([...regions].map(([name, region]) => [name, {...region, demandSlots: slots * assumedPart / regions.size}]));
 }
 
 /**
--- a/packages/gateway/src/placement/region-steering.test.ts
+++ b/packages/gateway/src/placement/region-steering.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {assumeWork, regionParts} from './region-demand.js';
-import {RegionSteering} from './region-steering.js';
+import {largestStep, RegionSteering} from './region-steering.js';
 import {WeightedTurns} from './weighted-turns.js';
 
 const load = (demandSlots: number, slots: number, boundSlots = 0) => ({demandSlots, slots, boundSlots});
@@ -84,6 +84,16 @@
 	t.pass();
 });
 
+test('a fleet that starts is at its targets when the first callers come', t => {
+	// Guards against a small region that keeps its callers for the first ten seconds, as servers register only after its VMs.
+	const steering = new RegionSteering('small');
+	steering.update(new Map([['large', 0.1]]), largestStep({isMeasured: false, shiftMost: 0.15, elapsedMs: 500}));
+	steering.update(new Map([['large', 0.4], ['middle', 0.2]]), largestStep({isMeasured: false, shiftMost: 0.15, elapsedMs: 500}));
+	t.is(steering.movedPart.toFixed(3), '0.600');
+	steering.update(new Map([['large', 0.8], ['middle', 0.2]]), largestStep({isMeasured: true, shiftMost: 0.15, elapsedMs: 500}));
+	t.true(steering.movedPart <= 0.6 + (0.15 / 4), `${steering.movedPart}`);
+});
+
 test('an object keeps to one region while that region is not ahead of its part', t => {
 	const steering = new RegionSteering('own');
 	steering.update(new Map([['a', 0.4]]), 1);
--- a/packages/gateway/src/placement/region-steering.ts
+++ b/packages/gateway/src/placement/region-steering.ts
@@ -1,6 +1,25 @@
 /** Requests by which a region may be ahead of or behind its part, so that objects can keep to one region. */
 const maxLead = 1.5;
 
+/** Window over which moves between regions are limited, in milliseconds. */
+const shiftWindowMs = 2000;
+/** Part of the limit of moves between regions that planned shifts use within a window. */
+const steeringPart = 0.5;
+
+/** What decides how far the parts of a region may move at once. */
+export type StepInput = {
+	/** Whether callers asked for work in the last seconds. */
+	readonly isMeasured: boolean;
+	/** Largest part of a region's requests that may change the region between two windows. */
+	readonly shiftMost: number;
+	readonly elapsedMs: number;
+};
+
+/** Largest change of the parts that leave a region; without callers there is nothing that a change could move, so a fleet that starts is at its targets when they come. */
+export function largestStep({isMeasured, shiftMost, elapsedMs}: StepInput): number {
+	return isMeasured ? shiftMost * steeringPart * elapsedMs / shiftWindowMs : Number.POSITIVE_INFINITY;
+}
+
 /**
 Deals the requests of one service and region out to regions.
 
