Do not let VMs that start together copy each other's parts of regions

Cause: a VM that starts takes over the moved parts of another VM of its region. When all VMs of a region start together, as after a loss of power, each took over what the other had made of its first half second of measurements. Ruled out: the limit of shifts (it does not hold for a VM's first 3 s). Change: a VM tells no parts while it is young.

--- /dev/null
+++ b/packages/gateway/src/placement/placer.test.ts
@@ -0,0 +1,74 @@
+import test from 'ava';
+import {createSilentLogger, ManualTimerService} from '@fescuewick/core';
+import {type FleetState} from '../state/fleet-state.js';
+import {backendRecord} from '../testing/fixtures.js';
+import {Placer} from './placer.js';
+import {RegionalWork} from './work-meter.js';
+
+/** A placer of a VM in region `small`, with servers of 12 slots there and 48 in `large`. */
+function createPlacer(timers: ManualTimerService): Placer {
+	const handlers = new Map<string, () => void>();
+	const backends = new Map(['small', 'large', 'large', 'large', 'large'].map((region, index) => [`s${index}`, {record: backendRecord(`s${index}`, {slots: 12, failureDomain: region}), seenAtMs: 0, lapsesAtMs: undefined}]));
+	const state = {
+		backends,
+		events: {
+			on(name: string, handler: () => void) {
+				handlers.set(name, handler);
+			},
+		},
+		isEvacuated: () => false,
+	} as unknown as FleetState;
+	const placer = new Placer({
+		state,
+		timers,
+		logger: createSilentLogger(),
+		region: 'small',
+		regionOf: failureDomain => failureDomain,
+		bounds: () => ({shiftMost: 0.15, coldOvershoot: 1.5, coldSlack: 2}),
+		sharersInRegion: () => 2,
+		onRoom: () => undefined,
+	});
+	handlers.get('backends')!();
+	return placer;
+}
+
+function workOf(smallSlots: number): RegionalWork {
+	const work = new RegionalWork();
+	work.add('small', {free: {stock: smallSlots}, bound: {}});
+	work.add('large', {free: {stock: 5}, bound: {}});
+	return work;
+}
+
+const stepMs = 500;
+const movedPart = (placer: Placer) => placer.movedParts().stock?.large ?? 0;
+
+test('VMs of a region that start together do not hold each other to their first measurements', t => {
+	// Guards against a small region whose VMs all lost power: each copied the parts of the other, and its callers were refused for ten seconds.
+	const timers = new ManualTimerService();
+	const vms = [createPlacer(timers), createPlacer(timers)];
+	for (const smallSlots of [9, 14, 20, 24, 24, 24, 24, 24]) {
+		timers.pause(stepMs);
+		const told = vms.map(vm => vm.movedParts());
+		for (const [index, vm] of vms.entries()) {
+			const peer = told[1 - index];
+			vm.steer(workOf(smallSlots), stepMs, Object.keys(peer).length > 0 ? peer : undefined);
+		}
+	}
+
+	// 24 slots are asked for, and 0.6 of 12 are used by the region's own callers.
+	for (const vm of vms) {
+		t.true(movedPart(vm) > 0.65, `${movedPart(vm)}`);
+	}
+});
+
+test('a VM that starts alone does what the other VMs of its region do', t => {
+	// Guards against a shift of traffic by each restart of a VM.
+	const timers = new ManualTimerService();
+	const vm = createPlacer(timers);
+	for (let step = 0; step < 8; step++) {
+		timers.pause(stepMs);
+		vm.steer(workOf(24), stepMs, {stock: {large: 0.2}});
+	}
+
+	t.true(movedPart(vm) > 0.15 && movedPart(vm) < 0.35, `${movedPart(vm)}`);
+});
--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -135,8 +135,7 @@
 
 	/** Adapts the parts of requests that run in other regions to the work of all regions' callers. */
 	steer(work: RegionalWork, elapsedMs: number, partsOfRegion: MovedParts | undefined): void {
-		const {region, bounds, timers} = this.options;
-		const isYoung = timers.nowMs() - this.#startedAtMs < youngMs;
+		const {region, bounds} = this.options;
 		for (const service of this.#byService.keys()) {
 			const loads = new Map<string, RegionLoad>();
 			for (const backend of this.#usable(service)) {
@@ -146,7 +145,7 @@
 
 			const steering = this.#steeringOf(service);
 			const targets = regionParts(region, assumeWork(loads));
-			if (isYoung) {
+			if (this.#isYoung) {
 				// A VM without a past does what its region does; if no VM of the region has one, there is nothing to shift from.
 				steering.update(partsOfRegion === undefined ? targets : new Map(Object.entries(partsOfRegion[service] ?? {})), 1);
 			} else {
@@ -157,9 +156,13 @@
 		}
 	}
 
-	/** Present parts that run in other regions, by service. */
+	/** Present parts that run in other regions, by service; none while the VM is young, as VMs that start together would take over each other's first measurements. */
 	movedParts(): MovedParts {
-		return Object.fromEntries([...this.#steerings].map(([service, {parts}]): [string, Record<string, number>] => [service, Object.fromEntries(parts)]).filter(([, parts]) => Object.keys(parts).length > 0));
+		return this.#isYoung ? {} : Object.fromEntries([...this.#steerings].map(([service, {parts}]): [string, Record<string, number>] => [service, Object.fromEntries(parts)]).filter(([, parts]) => Object.keys(parts).length > 0));
+	}
+
+	get #isYoung(): boolean {
+		return this.options.timers.nowMs() - this.#startedAtMs < youngMs;
 	}
 
 	/** One line for each noticeable change of the parts of requests that leave the region. */
