Count a refused request as a quarter of its work

Ruled out: the durations (they fall from the assumed 400 ms to 170 ms within seconds); the ids of requests cannot tell repeats, each try has its own. Change: a refusal that tells its caller to come back takes three quarters of the request from the measure; callers come back up to four times.

--- a/packages/gateway/src/forward/request-run.ts
+++ b/packages/gateway/src/forward/request-run.ts
@@ -351,11 +351,14 @@
 			return;
 		}
 
-		const {admitted: {response, request, id, workspace}, context} = this;
+		const {admitted: {response, request, id, workspace, service}, context} = this;
 		const isNotRun = this.#runs === 0 && !this.#sendings.mayHaveRun;
 		this.#sendings.cancelOthers(undefined);
-		if (isNotRun && workspace !== undefined) {
-			context.limiter.giveBack(workspace.name);
+		if (isNotRun) {
+			context.work.refused(service, boundRegion(this.#homes, context.placer.region));
+			if (workspace !== undefined) {
+				context.limiter.giveBack(workspace.name);
+			}
 		}
 
 		const retryMs = isNotRun ? retryAfterMs(this.#timeLeftMs, context.random()) : undefined;
--- a/packages/gateway/src/placement/work-meter.ts
+++ b/packages/gateway/src/placement/work-meter.ts
@@ -11,23 +11,26 @@
 	readonly bound: Readonly<Record<string, WorkBySlots>>;
 };
 
+/**
+Part of a refused request that counts as work. Refused callers are told to come back within a quarter of the time that they have left, so a request is refused about four times before it is given up; counted in full, a region that refuses would seem to need several times its work.
+*/
+const refusedPart = 0.25;
+
 type Meters = Map<string, DemandMeter>;
 
-/** Measures how many slots the requests of this VM's callers need: arrivals times usual duration, refused ones included. */
+/** Measures how many slots the requests of this VM's callers need: arrivals times usual duration, refused ones included for the part that does not come back. */
 export class WorkMeter {
 	readonly #free: Meters = new Map();
 	readonly #bound = new Map<string, Meters>();
 
 	/** Counts a request that was asked for; `region` is the one in which it has to run, if any. */
 	arrived(service: string, region: string | undefined): void {
-		const meters = region === undefined ? this.#free : this.#metersOf(region);
-		let meter = meters.get(service);
-		if (meter === undefined) {
-			meter = new DemandMeter();
-			meters.set(service, meter);
-		}
+		this.#meterOf(service, region).add(1);
+	}
 
-		meter.add(1);
+	/** Takes in that a request that was counted was refused and its caller told to come back. */
+	refused(service: string, region: string | undefined): void {
+		this.#meterOf(service, region).add(refusedPart - 1);
 	}
 
 	/** Ends a measuring interval. */
@@ -45,6 +48,17 @@
 		return {free: slotsOf(this.#free), bound: Object.fromEntries([...this.#bound].map(([region, meters]) => [region, slotsOf(meters)]))};
 	}
 
+	#meterOf(service: string, region: string | undefined): DemandMeter {
+		const meters = region === undefined ? this.#free : this.#metersOf(region);
+		let meter = meters.get(service);
+		if (meter === undefined) {
+			meter = new DemandMeter();
+			meters.set(service, meter);
+		}
+
+		return meter;
+	}
+
 	#metersOf(region: string): Meters {
 		let meters = this.#bound.get(region);
 		if (meters === undefined) {
