--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -175,7 +175,7 @@
 		this.#loggedParts.set(service, movedPart);
 		this.options.logger.info({
 			event: 'steering', service, movedPart, targets: Object.fromEntries([...targets].map(([name, part]) => [name, Math.round(part * 100) / 100])),
-			loads: Object.fromEntries([...loads].map(([name, {demandSlots, slots}]) => [name, [Math.round(demandSlots * 10) / 10, slots]])),
+			loads: Object.fromEntries([...loads].map(([name, {demandSlots, boundSlots, slots}]) => [name, {free: Math.round(demandSlots * 10) / 10, bound: Math.round(boundSlots * 10) / 10, slots}])),
 		}, 'the part of requests that leaves the region changed');
 	}
 
