--- a/packages/bench/src/processes/process-fleet.ts
+++ b/packages/bench/src/processes/process-fleet.ts
@@ -2,8 +2,9 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {applyConfiguration, type ConfigurationDocument} from '@fescuewick/config';
+import {freePorts} from '@fescuewick/core';
 import {
-	demoConfiguration, freePorts, host, writePlatformLists,
+	demoConfiguration, host, writePlatformLists,
 } from '@fescuewick/local';
 import {HttpObjectStore} from '@fescuewick/store';
 import {type BackendRecord, type VmRecord} from '@fescuewick/wire';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from './errors.js';
+export * from './free-ports.js';
 export * from './hashing.js';
 export * from './identity.js';
 export * from './logger.js';
--- a/packages/gateway/src/testing/start-gateway.ts
+++ b/packages/gateway/src/testing/start-gateway.ts
@@ -1,7 +1,6 @@
-import {createSocket} from 'node:dgram';
-import {once} from 'node:events';
-import {createServer, type AddressInfo} from 'node:net';
-import {createMemoryLogger, SystemTimerService, type TimerService} from '@fescuewick/core';
+import {
+	createMemoryLogger, freePorts, SystemTimerService, type TimerService,
+} from '@fescuewick/core';
 import {Collection} from '@fescuewick/store';
 import {Gateway} from '../gateway.js';
 import {type Configuration} from '../model/configuration.js';
@@ -9,31 +8,6 @@
 import {configuration as defaultConfiguration, TestDialect, TestSides} from './fixtures.js';
 import {MemoryCollectionStore} from './memory-collection-store.js';
 
-/** A free TCP port on loopback that is free for UDP as well. */
-async function freeAddress(): Promise<string> {
-	for (;;) {
-		const server = createServer();
-		server.listen(0, '127.0.0.1');
-		await once(server, 'listening');
-		const {port} = server.address() as AddressInfo;
-		const socket = createSocket('udp4');
-		const isFree = await new Promise<boolean>(resolve => {
-			socket.once('error', () => {
-				resolve(false);
-			});
-			socket.bind(port, '127.0.0.1', () => {
-				resolve(true);
-			});
-		});
-		socket.close();
-		server.close();
-		await once(server, 'close');
-		if (isFree) {
-			return `127.0.0.1:${port}`;
-		}
-	}
-}
-
 /** A gateway on loopback with its settings and log lines. */
 export type StartedGateway = {
 	readonly gateway: Gateway;
@@ -55,7 +29,9 @@
 
 /** Starts a gateway on free ports. */
 export async function startGateway({vm = 'a1', failureDomain = 'north-1', store = storeWith(defaultConfiguration(1)), seeds = [], bounds = {}, timers = new SystemTimerService()}: StartOptions = {}): Promise<StartedGateway> {
-	const [entry, readiness, directory, peers, heartbeats, metrics] = await Promise.all(Array.from({length: 6}, async () => freeAddress()));
+	// A port that the system gives out may be taken by another test's connection before the gateway listens there.
+	const ports = await freePorts(6);
+	const [entry, readiness, directory, peers, heartbeats, metrics] = ports.map(port => `127.0.0.1:${port}`);
 	const settings: GatewaySettings = {
 		location: {vm, failureDomain, region: failureDomain.split('-')[0]},
 		regions: {'north-1': 'north', 'north-2': 'north', 'south-1': 'south'},
--- a/packages/local/src/deployment.ts
+++ b/packages/local/src/deployment.ts
@@ -1,4 +1,6 @@
-import {type Logger, type TimerService} from '@fescuewick/core';
+import {
+	freePorts, type Logger, type TimerService,
+} from '@fescuewick/core';
 import {applyConfiguration, loadConfiguration, type ConfigurationDocument} from '@fescuewick/config';
 import {
 	startBackendServer, startStoreServer, type BackendServer, type StoreServer,
@@ -7,7 +9,7 @@
 import {
 	backendListKey, vmListKey, type BackendRecord, type VmRecord,
 } from '@fescuewick/wire';
-import {freePorts, host} from './ports.js';
+import {host} from './ports.js';
 import {DirectRoutes, type Routes} from './routes.js';
 import {spreadServers, type Topology} from './topology.js';
 import {DeployedVm, type VmPlan} from './vm.js';
