Move the time to come back of callers beyond a rate to admission, and let objects that a home does not admit run in another home

The bound region is worked out once a request; a request with two homes was refused when its first home did not admit its object, although the other one may have room. A test fails without that.

--- a/packages/gateway/src/admission/admission.test.ts
+++ b/packages/gateway/src/admission/admission.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {admittedWaitMs, retryAfterMs} from './admission.js';
+import {admittedWaitMs, rateRetryAfterMs, retryAfterMs} from './admission.js';
 import {WaitingLine} from './waiting-line.js';
 
 const input = {
@@ -25,6 +25,16 @@
 	t.true(retryAfterMs(0, 0.5) > 0);
 });
 
+test('callers beyond the rate of their workspace do not come back for every token', t => {
+	// Guards against a surplus that returns every 200 ms and is refused each time.
+	const refusal = {
+		waitMs: 200, isOverRate: true, timeLeftMs: 3000, random: 0.5,
+	};
+	t.is(rateRetryAfterMs(refusal), retryAfterMs(3000, 0.5));
+	t.is(rateRetryAfterMs({...refusal, waitMs: 2000}), 2000);
+	t.is(rateRetryAfterMs({...refusal, isOverRate: false}), 200);
+});
+
 test('urgent requests are served first, others in order of arrival', t => {
 	const line = new WaitingLine<{priority: number; arrivedAtMs: number}>();
 	for (const [priority, arrivedAtMs] of [[2, 1], [1, 2], [2, 3], [1, 4]]) {
--- a/packages/gateway/src/admission/admission.ts
+++ b/packages/gateway/src/admission/admission.ts
@@ -34,3 +34,19 @@
 export function retryAfterMs(timeLeftMs: number, random: number): number {
 	return Math.round(Math.min(maxRetryMs, Math.max(minRetryMs, timeLeftMs / 4)) * (0.75 + (random / 2)));
 }
+
+/** What decides when a caller beyond its workspace's rate should come back. */
+export type RateRefusal = {
+	/** Time until the next token, in milliseconds. */
+	readonly waitMs: number;
+	/** Whether the workspace asks for more than its rate over all VMs. */
+	readonly isOverRate: boolean;
+	readonly timeLeftMs: number;
+	/** In [0, 1). */
+	readonly random: number;
+};
+
+/** When a caller beyond its workspace's rate should come back, in milliseconds: with the next token, but no sooner than any refused caller if the workspace asks for more than its rate, since it would meet the same refusal. */
+export function rateRetryAfterMs({waitMs, isOverRate, timeLeftMs, random}: RateRefusal): number {
+	return isOverRate ? Math.max(waitMs, retryAfterMs(timeLeftMs, random)) : waitMs;
+}
--- a/packages/gateway/src/forward/request-run.ts
+++ b/packages/gateway/src/forward/request-run.ts
@@ -34,6 +34,8 @@
 	readonly #sendings: Sendings;
 	readonly #cancels: Cancel[] = [];
 	readonly #homes: readonly string[] | undefined;
+	/** The region that the homes bind the request to. */
+	readonly #boundRegion: string | undefined;
 	#region: string | undefined;
 	#runs = 0;
 	#attempts = 0;
@@ -48,6 +50,7 @@
 	constructor(private readonly context: ForwardingContext, private readonly admitted: AdmittedRequest) {
 		this.priority = admitted.workspace?.priority ?? admitted.route.priority;
 		this.#homes = homesOf(admitted.route, admitted.workspace);
+		this.#boundRegion = boundRegion(this.#homes, context.placer.region);
 		this.#sendings = new Sendings(() => {
 			context.lines.roomFor(admitted.service);
 		});
@@ -63,7 +66,7 @@
 	start(): void {
 		const {response, deadlineAtMs, service} = this.admitted;
 		const {timers, lines, placer, work, random} = this.context;
-		work.arrived(service, boundRegion(this.#homes, placer.region));
+		work.arrived(service, this.#boundRegion);
 		// Requests with homes stay in them; the others are dealt out to regions.
 		this.#region = this.#homes === undefined ? placer.regionFor(service, affinityKeyOf(this.admitted), random()) : undefined;
 		response.once('close', () => {
@@ -108,7 +111,7 @@
 
 	#place(): Placement | NoPlacement {
 		return this.context.placer.place({
-			service: this.admitted.service, affinityKey: affinityKeyOf(this.admitted), homeRegions: this.#homes, excluded: this.#excluded, region: this.#region,
+			service: this.admitted.service, affinityKey: affinityKeyOf(this.admitted), homeRegions: this.#homes, boundRegion: this.#boundRegion, excluded: this.#excluded, region: this.#region,
 		});
 	}
 
@@ -356,7 +359,7 @@
 		const isNotRun = this.#runs === 0 && !this.#sendings.mayHaveRun;
 		this.#sendings.cancelOthers(undefined);
 		if (isNotRun) {
-			context.work.refused(service, boundRegion(this.#homes, context.placer.region));
+			context.work.refused(service, this.#boundRegion);
 			if (workspace !== undefined) {
 				context.limiter.giveBack(workspace.name);
 			}
--- a/packages/gateway/src/placement/placer.test.ts
+++ b/packages/gateway/src/placement/placer.test.ts
@@ -2,7 +2,7 @@
 import {createSilentLogger, ManualTimerService} from '@fescuewick/core';
 import {type FleetState} from '../state/fleet-state.js';
 import {backendRecord} from '../testing/fixtures.js';
-import {Placer} from './placer.js';
+import {NoPlacement, Placer} from './placer.js';
 import {RegionalWork} from './work-meter.js';
 
 /** A placer of a VM in region `small`, with servers of 12 slots there and 48 in `large`. */
@@ -73,3 +73,27 @@
 
 	t.true(movedPart(vm) > 0.15 && movedPart(vm) < 0.35, `${movedPart(vm)}`);
 });
+
+test('an object that an overloaded home region does not admit runs in another home', t => {
+	// Guards against refusals while another home has room, and against an overload that chance decides.
+	const timers = new ManualTimerService();
+	const vm = createPlacer(timers);
+	for (const backend of vm.backends) {
+		backend.inFlight = backend.region === 'small' ? 30 : 0;
+	}
+
+	for (let step = 0; step < 12; step++) {
+		timers.pause(stepMs);
+		vm.steer(workOf(24), stepMs, undefined);
+	}
+
+	const place = (object: string, homeRegions: readonly string[]) => vm.place({
+		service: 'stock', affinityKey: object, homeRegions, boundRegion: 'small', region: undefined, excluded: new Set(),
+	});
+	const refused = Array.from({length: 100}, (_, index) => `figure-${index}`).filter(object => place(object, ['small']) === NoPlacement.notAdmitted);
+	t.true(refused.length >= 60 && refused.length <= 90, `${refused.length} of 100`);
+	for (const object of refused) {
+		const placement = place(object, ['small', 'large']);
+		t.is(typeof placement === 'string' ? placement : placement.backend.region, 'large');
+	}
+});
--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -6,7 +6,6 @@
 import {type FleetState} from '../state/fleet-state.js';
 import {Backend, HealthEvent} from './backend.js';
 import {chooseBackend, type Candidate, type ChoiceReason} from './choose-backend.js';
-import {boundRegion} from './homes.js';
 import {RegionPlan, type MovedParts, type ServerLoad} from './region-plan.js';
 import {RegionSpill} from './region-spill.js';
 import {type RegionalWork} from './work-meter.js';
@@ -33,6 +32,8 @@
 	/** Object that the request concerns; undefined to spread evenly. */
 	readonly affinityKey: string | undefined;
 	readonly homeRegions: readonly string[] | undefined;
+	/** The region that the homes bind it to; undefined without homes. */
+	readonly boundRegion: string | undefined;
 	/** Region that the request was dealt to; undefined for the VM's own. */
 	readonly region: string | undefined;
 	/** Servers that were tried already. */
@@ -138,8 +139,8 @@
 			return NoPlacement.none;
 		}
 
-		const excess = this.#plan.admits(request) ? undefined : boundRegion(request.homeRegions, region);
-		const admitted = allowed.filter(backend => backend.region !== excess);
+		const isAdmitted = this.#plan.admits(request);
+		const admitted = isAdmitted ? allowed : allowed.filter(backend => backend.region !== request.boundRegion);
 		if (admitted.length === 0) {
 			return NoPlacement.notAdmitted;
 		}
--- a/packages/gateway/src/placement/region-plan.ts
+++ b/packages/gateway/src/placement/region-plan.ts
@@ -1,7 +1,6 @@
 import {type Logger, type TimerService} from '@fescuewick/core';
 import {type ConfigurationIndex} from '../model/configuration.js';
 import {type FleetState} from '../state/fleet-state.js';
-import {boundRegion} from './homes.js';
 import {AdmittedPart, isAdmitted} from './object-admission.js';
 import {
 	assumeWork, isMeasured, regionParts, type RegionLoad,
@@ -40,7 +39,8 @@
 export type BoundRequest = {
 	readonly service: string;
 	readonly affinityKey: string | undefined;
-	readonly homeRegions: readonly string[] | undefined;
+	/** The region that its homes bind it to; undefined if it may run in any. */
+	readonly boundRegion: string | undefined;
 };
 
 type RegionPlanOptions = {
@@ -73,10 +73,8 @@
 	}
 
 	/** Whether the region that a request is bound to admits its object now; requests that may run in any region go to another one instead. */
-	admits({service, affinityKey, homeRegions}: BoundRequest): boolean {
-		const {region, timers} = this.options;
-		const bound = boundRegion(homeRegions, region);
-		return bound === undefined || affinityKey === undefined || isAdmitted(affinityKey, this.#admittedPartOf(service, bound).part, timers.wallClockMs());
+	admits({service, affinityKey, boundRegion}: BoundRequest): boolean {
+		return boundRegion === undefined || affinityKey === undefined || isAdmitted(affinityKey, this.#admittedPartOf(service, boundRegion).part, this.options.timers.wallClockMs());
 	}
 
 	/** Present parts that run in other regions, by service; none while the VM is young, as VMs that start together would take over each other's first measurements. */
--- a/packages/gateway/src/server/request-handler.ts
+++ b/packages/gateway/src/server/request-handler.ts
@@ -1,7 +1,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {ResultCode, resultCodeName, toFescuewickError} from '@fescuewick/core';
 import {hasBody, noBody, readBody} from '@fescuewick/entry/http';
-import {retryAfterMs} from '../admission/admission.js';
+import {rateRetryAfterMs} from '../admission/admission.js';
 import {type ActiveRequest} from '../admission/waiting-lines.js';
 import {type ForwardingContext} from '../forward/forwarding-context.js';
 import {type RequestFields} from '../forward/header-dialect.js';
@@ -100,9 +100,10 @@
 
 			const waitMs = this.context.limiter.take(workspace.name);
 			if (waitMs > 0) {
-				const timeLeftMs = timeOf(route, fields);
-				// Whoever comes back soon to a workspace that asks for more than its rate meets the same refusal.
-				const retryMs = this.context.limiter.isOverRate(workspace.name) ? Math.max(waitMs, retryAfterMs(timeLeftMs, this.context.random())) : waitMs;
+				const {limiter, random} = this.context;
+				const retryMs = rateRetryAfterMs({
+					waitMs, isOverRate: limiter.isOverRate(workspace.name), timeLeftMs: timeOf(route, fields), random: random(),
+				});
 				return {code: ResultCode.rateExceeded, retryMs, workspace: workspace.name};
 			}
 		}
