--- a/packages/entry/src/forward/forwarding.test.ts
+++ b/packages/entry/src/forward/forwarding.test.ts
@@ -4,7 +4,7 @@
 import {
 	shopKey, startDeployment, testConfiguration, until, type Deployment,
 } from '../testing/deployment.js';
-import {startRawServer} from '../testing/raw-server.js';
+import {startRawServer, type RawServer} from '../testing/raw-server.js';
 
 const key = {'x-api-key': shopKey};
 const orderBody = 'one notice';
@@ -50,6 +50,35 @@
 	t.like(await order(deployment.url, 'o-5'), {code: '1404'});
 });
 
+// Guards against a request that spends its one repeat on the server that just dropped its connection: that server may have ended.
+test('a repeatable request whose kept connection breaks is sent to another server', async t => {
+	let isEnding = false;
+	const servers: RawServer[] = await Promise.all(['raw-1', 'raw-2'].map(async server => startRawServer(socket => {
+		if (isEnding) {
+			isEnding = false;
+			void servers.find(({record}) => record.server === server)!.close();
+		} else {
+			socket.write(okAnswer);
+		}
+	}, {server})));
+	const deployment = await startDeployment({records: () => servers.map(({record}) => record)});
+	t.teardown(async () => deployment.stop());
+	t.teardown(async () => Promise.all(servers.map(async server => server.close())));
+	const check = async () => {
+		const answer = await request(`${deployment.url}/check`, {headers: key});
+		await answer.body.dump();
+		return answer.headers['x-fescuewick-code'];
+	};
+
+	await until(async () => {
+		await Promise.all(Array.from({length: 4}, async () => check()));
+		return servers.every(({requests}) => requests.length > 0);
+	});
+	isEnding = true;
+	t.is(await check(), '1000');
+	t.false(isEnding);
+});
+
 // Guards against calling an order unsure, or losing it, when it never left this VM.
 test('an order that reached no socket is not run and can be repeated', async t => {
 	const raw = await startRawServer(socket => {
--- a/packages/entry/src/forward/forwarding.ts
+++ b/packages/entry/src/forward/forwarding.ts
@@ -63,6 +63,8 @@
 	#settled = false;
 	readonly #running = new Map<Attempt, Running>();
 	readonly #tried = new Set<Backend>();
+	/** Servers whose kept connection broke: they are tried again only if no other server is free. */
+	readonly #doubtful = new Set<Backend>();
 	#chosen: Running | undefined;
 	#attempts = 0;
 	#repeats = 0;
@@ -179,10 +181,10 @@
 		}
 	}
 
-	/** A connection that was idle may have been closed by the server meanwhile: that says nothing about the server, which may be tried again. */
+	/** A connection that was idle may have been closed by the server meanwhile: that is no failure of the server. */
 	#blame({attempt, lease}: Running): void {
 		if (attempt.head === undefined && lease.connection.aliveAtMs !== undefined) {
-			this.#tried.delete(lease.backend);
+			this.#doubtful.add(lease.backend);
 		} else {
 			this.tools.pool.observeFailure(lease.backend);
 		}
@@ -241,7 +243,8 @@
 			return false;
 		}
 
-		const lease = pool.pick({except: this.#tried, provenWithinMs: this.plan.repeatable ? undefined : 0});
+		const provenWithinMs = this.plan.repeatable ? undefined : 0;
+		const lease = pool.pick({except: this.#tried, provenWithinMs}) ?? pool.pick({except: new Set([...this.#tried].filter(backend => !this.#doubtful.has(backend))), provenWithinMs});
 		if (lease === undefined) {
 			return false;
 		}
