Learn of other VMs from peers instead of reading the whole list again

Now the first reading is the cheap one, and a second later a VM asks two peers, or the seeds, whom they know; the store is read in full only if none of them answers. Ruled out: relying on the cheap listing alone; it may be seconds old, so a fleet that starts at once could stay unknown to itself (test).

--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -331,6 +331,20 @@
 	t.false(store.calls.some(call => call.startsWith('list')), 'no VM reads whole collections again');
 });
 
+test('VMs that start together learn of each other from a seed', async t => {
+	// Guards against VMs that stay unknown because the list they read was older than the others' records, and against each of them reading the whole list.
+	const store = storeWith(configuration(1));
+	store.staleListing = {collection: Collection.vms, listing: {records: [], revision: 1}};
+	const first = await start(t, {store, vm: 'a1'});
+	const names = ['a2', 'a3', 'a4', 'a5', 'a6'];
+	const others = await Promise.all(names.map(async vm => start(t, {store, vm, seeds: [first.settings.listen.peers]})));
+	const regained = ({lines}: StartedGateway) => lines.filter(({event}) => event === 'peer-regained').length;
+	await until(() => [first, ...others].every(gateway => regained(gateway) === names.length));
+	await sleep(2500);
+	// The first VM has nobody to ask while it starts.
+	t.true(store.calls.filter(call => call === 'list vms').length <= names.length + 3, store.calls.filter(call => call === 'list vms').length.toString());
+});
+
 test('a VM that the store refuses takes changes over from its peers', async t => {
 	const shared = storeWith(configuration(1));
 	const first = await start(t, {store: shared, vm: 'a1'});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -133,6 +133,7 @@
 			seeds: settings.seeds,
 			timers,
 			logger,
+			random,
 			needsPeers: () => this.#state.configuration === undefined,
 			onLearned: () => {
 				this.#gossip.send(true);
--- a/packages/gateway/src/peers/registration.ts
+++ b/packages/gateway/src/peers/registration.ts
@@ -1,7 +1,9 @@
 import {
 	ResultCode, toFescuewickError, type Cancel, type Logger, type TimerService,
 } from '@fescuewick/core';
-import {Collection, Freshness, type CollectionStore} from '@fescuewick/store';
+import {
+	Collection, Freshness, type CollectionStore, type Listing,
+} from '@fescuewick/store';
 import {type VmRecord} from '../model/records.js';
 import {type Replica} from '../state/replica.js';
 import {type StoreGate} from '../state/store-gate.js';
@@ -10,8 +12,12 @@
 
 /** A starting VM asks its seeds when the store has not answered for this time, in milliseconds. */
 const seedDelayMs = 400;
-/** Time between two readings of the list, in milliseconds; VMs that start together may have read it before the others wrote. */
-const listPauseMs = 1000;
+/** Pause after which peers are asked again whom they know, in milliseconds; VMs that start together learn of each other one after the other. */
+const askPauseMs = 1000;
+/** How often peers are asked after the registration; the second time finds VMs that were not known to anyone the first time. */
+const askRounds = 2;
+/** Peers that are asked in a round; one may have ended. */
+const askedPeers = 2;
 
 /** What registration needs. */
 export type RegistrationOptions = {
@@ -23,6 +29,7 @@
 	readonly seeds: readonly string[];
 	readonly timers: TimerService;
 	readonly logger: Logger;
+	readonly random: () => number;
 	/** Whether this VM still needs peers to get its configuration from. */
 	readonly needsPeers: () => boolean;
 	/** Called when VMs were learned, so that they hear of this one. */
@@ -47,16 +54,38 @@
 		this.#cancel?.();
 	}
 
-	/** Reads the other VMs' records and writes the own one if it is missing or differs. */
+	/** Writes the own record if it is missing or differs, and learns of the other VMs. */
 	async #register(): Promise<void> {
-		const {gate, timers, logger, onLearned} = this.options;
+		// VMs that start together write at the same time, so a listing shows only some of them; the seeds hear of all.
+		await Promise.all([this.#callStore(async () => this.#readAndWrite()), this.#askPeers()]);
+		for (let round = 0; round < askRounds && !this.#isStopped; round++) {
+			this.#tellLearned();
+			await this.options.timers.sleep(askPauseMs);
+			if (!await this.#askPeers()) {
+				await this.#callStore(async () => {
+					this.#learn(await this.options.store.list(Collection.vms, Freshness.latest));
+				});
+			}
+		}
+
+		this.#tellLearned();
+	}
+
+	#tellLearned(): void {
+		if (!this.#isStopped) {
+			this.options.onLearned();
+		}
+	}
+
+	/** Repeats a call until the store has answered. */
+	async #callStore(call: () => Promise<void>): Promise<void> {
+		const {gate, logger} = this.options;
 		for (let isDone = false; !isDone && !this.#isStopped;) {
 			await gate.turn(this.#caller);
 			try {
-				isDone = await this.#readAndWrite();
+				await call();
+				isDone = true;
 				gate.succeeded(this.#caller);
-				onLearned();
-				await timers.sleep(listPauseMs);
 			} catch (error) {
 				const {code, message} = toFescuewickError(error);
 				logger.warn({event: 'register-failed', code, reason: message}, 'could not register this VM');
@@ -65,23 +94,54 @@
 		}
 	}
 
-	/** Returns whether the own record was there already. */
-	async #readAndWrite(): Promise<boolean> {
-		const {store, vms, table} = this.options;
-		const listing = await store.list(Collection.vms, Freshness.latest);
+	async #readAndWrite(): Promise<void> {
+		const {store, table} = this.options;
+		const listing = await store.list(Collection.vms, Freshness.recent);
+		this.#learn(listing);
+		const own = listing.records.find(({name}) => name === table.self.vm)?.value;
+		if (JSON.stringify(own) !== JSON.stringify(table.self)) {
+			await store.put(Collection.vms, table.self.vm, table.self);
+		}
+	}
+
+	#learn(listing: Listing): void {
+		const {vms, table} = this.options;
 		vms.applyListing(listing);
 		for (const {value} of listing.records) {
 			if (value !== undefined) {
 				table.learn(value as VmRecord);
 			}
 		}
+	}
 
-		const own = listing.records.find(({name}) => name === table.self.vm)?.value;
-		if (JSON.stringify(own) !== JSON.stringify(table.self)) {
-			await store.put(Collection.vms, table.self.vm, table.self);
+	/** Asks some live peers, or the seeds while none is known, for the VMs they know; returns whether one answered. */
+	async #askPeers(): Promise<boolean> {
+		const {table, seeds, random} = this.options;
+		const alive = [...table.alive()].map(({record}) => record.peerAddress);
+		const chosen = Array.from({length: Math.min(askedPeers, alive.length)}, () => alive[Math.floor(random() * alive.length)]);
+		const answers = await Promise.all((chosen.length > 0 ? chosen : seeds).map(async address => this.#askPeer(address)));
+		return answers.includes(true);
+	}
+
+	async #askPeer(address: string): Promise<boolean> {
+		const {table, client, logger} = this.options;
+		if (address === table.self.peerAddress) {
+			return false;
 		}
 
-		return own !== undefined;
+		try {
+			for (const record of await client.members(address)) {
+				table.learn(record);
+			}
+
+			return true;
+		} catch (error) {
+			const {code, message} = toFescuewickError(error, ResultCode.peerClosed);
+			logger.info({
+				event: 'peer-unasked', address, code, reason: message,
+			}, 'a peer did not say which VMs it knows');
+			return false;
+		}
 	}
 
 	#scheduleSeeds(): void {
@@ -93,22 +153,9 @@
 	}
 
 	async #askSeeds(): Promise<void> {
-		const {seeds, table, client, logger, onLearned} = this.options;
-		for (const seed of seeds.filter(seed => seed !== table.self.peerAddress)) {
-			try {
-				for (const record of await client.members(seed)) {
-					table.learn(record);
-				}
-			} catch (error) {
-				const {code, message} = toFescuewickError(error, ResultCode.peerClosed);
-				logger.info({
-					event: 'seed-failed', seed, code, reason: message,
-				}, 'a seed does not answer');
-			}
-		}
-
+		await Promise.all(this.options.seeds.map(async seed => this.#askPeer(seed)));
 		// Peers answer with heartbeats, whose revisions lead to their copies.
-		onLearned();
+		this.#tellLearned();
 		this.#scheduleSeeds();
 	}
 }
