Send unsafe requests on connections that rested for at most 200 ms

Cause: such requests could use connections that had rested for up to 500 ms; servers may forget connections after 300 ms and then reset what comes, so the outcome is unknown (502). Besides: PlacerOptions takes over the options of RegionPlan instead of repeating them, and #isLogged, which also remembers the value, is #shouldLog.

--- a/packages/gateway/src/forward/sending.ts
+++ b/packages/gateway/src/forward/sending.ts
@@ -5,8 +5,8 @@
 import {type ForwardingContext} from './forwarding-context.js';
 import {outgoingHeaders} from './outgoing-headers.js';
 
-/** A connection for a request that may not be repeated must have proved alive within this time, in milliseconds. */
-const provenWithinMs = 500;
+/** A connection for a request that may not be repeated must have proved alive within this time, in milliseconds; some servers forget connections that rested for 300 ms, without a word. */
+const provenWithinMs = 200;
 
 /** One sending of a request and what came back so far. */
 export type Sending = {
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -1,3 +1,4 @@
+import {type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {Collection} from '@fescuewick/store';
@@ -331,6 +332,31 @@
 	t.false(store.calls.some(call => call.startsWith('list')), 'no VM reads whole collections again');
 });
 
+test('a request that may not be repeated avoids connections that rested while others forget theirs', async t => {
+	// Guards against orders with an unknown outcome: a server that has forgotten a resting connection resets what is sent on it next.
+	const store = storeWith(configuration(1));
+	const answeredAtMs = new WeakMap<Socket, number>();
+	const forgetful = await addBackend(t, store, {
+		id: 's1',
+		answering(socket, request) {
+			if (performance.now() - (answeredAtMs.get(socket) ?? Number.POSITIVE_INFINITY) > 300) {
+				socket.resetAndDestroy();
+				return;
+			}
+
+			answerOk(socket, request);
+			answeredAtMs.set(socket, performance.now());
+		},
+	});
+	const {call} = await start(t, {store});
+	for (let round = 0; round < 3; round++) {
+		t.is(await statusOf(call('/reserve/1', {method: 'POST', body: 'x'})), 200);
+		await sleep(350);
+	}
+
+	t.is(forgetful.requests.length, 3);
+});
+
 test('VMs that start together learn of each other from a seed', async t => {
 	// Guards against VMs that stay unknown because the list they read was older than the others' records, and against each of them reading the whole list.
 	const store = storeWith(configuration(1));
--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -6,7 +6,9 @@
 import {type FleetState} from '../state/fleet-state.js';
 import {Backend, HealthEvent} from './backend.js';
 import {chooseBackend, type Candidate, type ChoiceReason} from './choose-backend.js';
-import {RegionPlan, type MovedParts, type ServerLoad} from './region-plan.js';
+import {
+	RegionPlan, type MovedParts, type RegionPlanOptions, type ServerLoad,
+} from './region-plan.js';
 import {RegionSpill} from './region-spill.js';
 import {type RegionalWork} from './work-meter.js';
 
@@ -53,13 +55,7 @@
 	notAdmitted = 'not-admitted',
 }
 
-type PlacerOptions = {
-	readonly state: FleetState;
-	readonly timers: TimerService;
-	readonly logger: Logger;
-	readonly region: string;
-	/** All regions of the deployment. */
-	readonly regions: readonly string[];
+type PlacerOptions = RegionPlanOptions & {
 	readonly regionOf: (failureDomain: string) => string | undefined;
 	readonly bounds: () => PlacementBounds;
 	readonly vm: string;
--- a/packages/gateway/src/placement/region-plan.ts
+++ b/packages/gateway/src/placement/region-plan.ts
@@ -43,7 +43,8 @@
 	readonly boundRegion: string | undefined;
 };
 
-type RegionPlanOptions = {
+/** What a region plan needs. */
+export type RegionPlanOptions = {
 	readonly state: FleetState;
 	readonly timers: TimerService;
 	readonly logger: Logger;
@@ -147,8 +148,8 @@
 		return shares;
 	}
 
-	/** Whether a value differs from the last logged one by a step; it then counts as logged. */
-	#isLogged(key: string, value: number, initial: number, step: number): boolean {
+	/** Whether a value differs from the last logged one by a step; remembers it as logged if so. */
+	#shouldLog(key: string, value: number, initial: number, step: number): boolean {
 		if (Math.abs(value - (this.#logged.get(key) ?? initial)) < step) {
 			return false;
 		}
@@ -160,7 +161,7 @@
 	/** One line for each noticeable change of the parts of requests that leave the region. */
 	#logSteering(service: string, steering: RegionSteering, targets: ReadonlyMap<string, number>, loads: ReadonlyMap<string, RegionLoad>): void {
 		const movedPart = Math.round(steering.movedPart * 100) / 100;
-		if (this.#isLogged(`steering\u0000${service}`, movedPart, 0, loggedMovedStep)) {
+		if (this.#shouldLog(`steering\u0000${service}`, movedPart, 0, loggedMovedStep)) {
 			this.options.logger.info({
 				event: 'steering', service, movedPart, targets: Object.fromEntries([...targets].map(([name, part]) => [name, Math.round(part * 100) / 100])),
 				loads: Object.fromEntries([...loads].map(([name, {demandSlots, boundSlots, slots}]) => [name, {free: Math.round(demandSlots * 10) / 10, bound: Math.round(boundSlots * 10) / 10, slots}])),
@@ -171,7 +172,7 @@
 	/** One line for each noticeable change of the part of the objects that a region admits. */
 	#logAdmission(service: string, region: string, pressure: number): void {
 		const admittedPart = Math.round(this.#admittedPartOf(service, region).part * 100) / 100;
-		if (this.#isLogged(`admission\u0000${service}\u0000${region}`, admittedPart, 1, loggedAdmittedStep)) {
+		if (this.#shouldLog(`admission\u0000${service}\u0000${region}`, admittedPart, 1, loggedAdmittedStep)) {
 			this.options.logger.info({
 				event: 'admission', service, region, admittedPart, requestsPerSlot: Math.round(pressure * 100) / 100,
 			}, 'the part of the objects that the region admits changed');
