--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -1,9 +1,6 @@
-import {
-	hashFraction, rendezvousOrder, type Logger, type TimerService,
-} from '@fescuewick/core';
+import {hashFraction, rendezvousOrder} from '@fescuewick/core';
 import {ConnectionSet} from '@fescuewick/entry/http';
 import {coldAllowancePerS} from '../limits/cold-allowance.js';
-import {type FleetState} from '../state/fleet-state.js';
 import {Backend, HealthEvent} from './backend.js';
 import {chooseBackend, type Candidate, type ChoiceReason} from './choose-backend.js';
 import {
@@ -55,7 +52,7 @@
 	notAdmitted = 'not-admitted',
 }
 
-type PlacerOptions = RegionPlanOptions & {
+type PlacerOptions = Omit<RegionPlanOptions, 'bounds'> & {
 	readonly regionOf: (failureDomain: string) => string | undefined;
 	readonly bounds: () => PlacementBounds;
 	readonly vm: string;
