--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -357,6 +357,27 @@
 	t.is(forgetful.requests.length, 3);
 });
 
+test('VMs of large regions hear each other through relays, also when some of them end', async t => {
+	// Guards against a region or failure domain that loses sight of another one as its relays end.
+	const store = storeWith(configuration(1));
+	const first = await start(t, {store, vm: 'n0'});
+	const places = Array.from({length: 20}, (_, index) => index < 10 ? `north-${1 + (index % 2)}` : 'south-1');
+	const gateways = [first, ...await Promise.all(places.slice(1).map(async (failureDomain, index) => startGateway({
+		store, vm: `vm-${index}`, failureDomain, seeds: [first.settings.listen.peers],
+	})))];
+	t.teardown(async () => Promise.all(gateways.map(async ({gateway}) => gateway.stop())));
+	const heard = ({lines}: StartedGateway) => new Set(lines.filter(({event}) => event === 'peer-regained').map(({vm}) => vm)).size;
+	await until(() => gateways.every(gateway => heard(gateway) === gateways.length - 1));
+	const ending = [gateways[3], gateways[15]];
+	await Promise.all(ending.map(async ({gateway}) => gateway.stop()));
+	const ended = new Set(ending.map(({settings}) => settings.location.vm));
+	await sleep(4000);
+	const left = gateways.filter(gateway => !ending.includes(gateway));
+	const lost = left.flatMap(({lines}) => lines.filter(({event}) => event === 'peer-lost').map(({vm}) => String(vm)));
+	t.deepEqual([...new Set(lost)].filter(vm => !ended.has(vm)), []);
+	t.is(lost.length, ending.length * left.length);
+});
+
 test('VMs that start together learn of each other from a seed', async t => {
 	// Guards against VMs that stay unknown because the list they read was older than the others' records, and against each of them reading the whole list.
 	const store = storeWith(configuration(1));
