Keep VMs that start from making all others fetch their whole copy

Cause: a first listing counted its own revision as that of the last change, so each VM whose revision was older by seconds took the starting VM's copy for newer and fetched all of it (about 50 KB at 227 servers, from every start to every VM). A copy that does not know its last change now vouches only for its latest record, until a reader's heartbeat tells the last change. A whole copy from a peer is treated like a listing. A VM that is not a reader is asked 600 ms later than readers of the region.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,7 +18,6 @@
 import {PeerClient} from './peers/peer-client.js';
 import {PeerTable} from './peers/peer-table.js';
 import {Registration} from './peers/registration.js';
-import {readsStore, StoreAccess} from './peers/store-readers.js';
 import {Placer} from './placement/placer.js';
 import {type MovedParts} from './placement/region-plan.js';
 import {Prober} from './placement/prober.js';
@@ -32,13 +31,12 @@
 import {FleetState} from './state/fleet-state.js';
 import {StoreFollower} from './state/store-follower.js';
 import {StoreGate} from './state/store-gate.js';
+import {StoreReading} from './state/store-reading.js';
 
 /** Collections that every VM follows; VMs are read at the start and learned from heartbeats afterwards. */
 const followed = [Collection.configurations, Collection.backends, Collection.evacuations] as const;
 /** Mean wait of a watch, in milliseconds. With each VM's watches ending at another time, some VM soon notices that open connections went silent, and tells the others. */
 const watchWaitMs = 8000;
-/** A VM goes on reading for this time after another one's turn began, in milliseconds; two heartbeats, in which the other one learns of it and starts. */
-const readerHoldMs = 1000;
 /** Time a directory answer may be used, in milliseconds; a lost VM is named for at most this long after its peers noticed. */
 const directoryTtlMs = 2000;
 /** Part of the retry budget that is used; the rest covers windows that do not match and VMs that joined. */
@@ -76,6 +74,7 @@
 	readonly #catchUp: CatchUp;
 	readonly #peerClient = new PeerClient();
 	readonly #followers: Record<string, StoreFollower>;
+	readonly #reading: StoreReading;
 	readonly #limiter: WorkspaceLimiter;
 	readonly #lines = new WaitingLines();
 	readonly #work = new WorkMeter();
@@ -91,9 +90,6 @@
 	readonly #incarnation: number;
 	readonly #cancels: Cancel[] = [];
 	#isListening = false;
-	/** Whether this VM watches the store for its region. */
-	#isReading = true;
-	#readerUntilMs = 0;
 	#isStopping = false;
 	#stopped: Promise<void> | undefined;
 
@@ -111,7 +107,7 @@
 		});
 		this.#peers = new PeerTable({self: this.#self, timers, logger});
 		this.#catchUp = new CatchUp({
-			replicas: this.#state.replicas, client: this.#peerClient, timers, logger, region: location.region, isReading: () => this.#isReading, onAdopted: collection => {
+			replicas: this.#state.replicas, client: this.#peerClient, timers, logger, region: location.region, isReading: () => this.#reading.isReading, onAdopted: collection => {
 				this.#followers[collection]?.restartWatch();
 			},
 		});
@@ -144,6 +140,9 @@
 			store: deps.store, collection, replica: this.#state.replicas[collection], gate: this.#gate, timers, logger,
 			watchWaitMs: () => Math.round(watchWaitMs * (0.75 + (random() / 2))),
 		})]));
+		this.#reading = new StoreReading({
+			self: this.#self, isReady: () => this.isReady, peers: this.#peers, gate: this.#gate, followers: Object.values(this.#followers), timers, logger,
+		});
 		this.#limiter = new WorkspaceLimiter(timers, () => {
 			const {rateOvershoot, rateSlack, rateWindowMs} = this.settings.bounds;
 			return {overshoot: rateOvershoot, slackCount: rateSlack, windowMs: rateWindowMs};
@@ -180,7 +179,7 @@
 		this.#sideServers = this.#createSideServers();
 		for (const collection of followed) {
 			this.#state.replicas[collection].events.on('change', () => {
-				if (this.#isReading && this.#isListening) {
+				if (this.#reading.isReading && this.#isListening) {
 					// The other VMs of the region take the change over when they hear of the new revision.
 					this.#gossip.send(Reach.region);
 				}
@@ -220,7 +219,7 @@
 			timers.repeat(expiryIntervalMs, () => {
 				this.#peers.expire();
 				this.#state.expire();
-				this.#chooseReading();
+				this.#reading.update();
 			}),
 			timers.repeat(measureIntervalMs, () => {
 				this.#limiter.update(new Set(this.#peers.sharing().map(({vm}) => vm)));
@@ -282,36 +281,6 @@
 		logger.info({event: 'stopped'}, 'gateway stopped');
 	}
 
-	/** Starts or ends the watches of the store as this VM's turn to read for its region comes and goes. */
-	#chooseReading(): void {
-		const nowMs = this.deps.timers.nowMs();
-		const candidates = [...this.#peers.alive()].filter(({record}) => record.region === this.#self.region).map(({record, isReady, storeAccess}) => ({record, isReady, access: storeAccess}));
-		if (readsStore(this.#self.vm, [...candidates, {record: this.#self, isReady: this.isReady, access: this.#storeAccess}])) {
-			this.#readerUntilMs = nowMs + readerHoldMs;
-		}
-
-		const isReading = nowMs < this.#readerUntilMs;
-		if (isReading === this.#isReading) {
-			return;
-		}
-
-		this.#isReading = isReading;
-		this.deps.logger.info({
-			event: 'store-reading', isReading, peers: candidates.length, refused: candidates.filter(({access}) => access === StoreAccess.refused).length,
-		}, isReading ? 'this VM watches the store' : 'this VM follows its peers');
-		for (const follower of Object.values(this.#followers)) {
-			follower.setReading(isReading);
-		}
-	}
-
-	get #storeAccess(): StoreAccess {
-		if (this.#gate.isFailing) {
-			return StoreAccess.refused;
-		}
-
-		return this.#isReading ? StoreAccess.reading : StoreAccess.idle;
-	}
-
 	/** Moved parts of another VM of this region, which a VM that has just started takes over. */
 	#partsOfRegion(): MovedParts | undefined {
 		for (const {record, movedParts} of this.#peers.alive()) {
@@ -328,8 +297,8 @@
 			record: this.#self,
 			incarnation: this.#incarnation,
 			isReady: this.isReady,
-			storeAccess: this.#storeAccess,
-			revisions: Object.fromEntries(followed.map(collection => [collection, this.#state.replicas[collection].revisions])),
+			storeAccess: this.#reading.access,
+			revisions: Object.fromEntries(followed.map(collection => [collection, this.#state.replicas[collection].toldRevisions])),
 			buckets: this.#limiter.reports(isFull),
 			work: this.#ownWork(),
 			movedParts: this.#placer.movedParts(),
--- a/packages/gateway/src/peers/catch-up.ts
+++ b/packages/gateway/src/peers/catch-up.ts
@@ -1,13 +1,13 @@
 import {toFescuewickError, type Logger, type TimerService} from '@fescuewick/core';
 import {Collection} from '@fescuewick/store';
-import {type VmRecord} from '../model/records.js';
 import {type Replica} from '../state/replica.js';
 import {type Heartbeat} from './heartbeat.js';
 import {type PeerClient} from './peer-client.js';
+import {StoreAccess} from './store-readers.js';
 
 /** Time left to the own watch to bring a change that a peer already has, in milliseconds; a little more than the longest time between two watches. */
 const ownWatchMs = 400;
-/** Time left to the readers of the own region to bring a change that a VM of another region has, in milliseconds; bytes between regions are dear. */
+/** Time left to the readers of the own region to bring a change that another VM has, in milliseconds; they know the changes, and bytes between regions are dear. */
 const ownRegionMs = 600;
 
 type CatchUpOptions = {
@@ -32,22 +32,23 @@
 	constructor(private readonly options: CatchUpOptions) {}
 
 	/** Compares a peer's revisions with the own ones and fetches what is missing; a copy that misses nothing is valid as far as the peer's. */
-	onHeartbeat({record, revisions}: Heartbeat): void {
+	onHeartbeat({record, storeAccess, revisions}: Heartbeat): void {
 		for (const collection of relayed) {
 			const replica = this.options.replicas[collection];
 			replica.confirm(revisions[collection]);
 			if (!this.#running.has(collection) && replica.isBehind(revisions[collection])) {
 				this.#running.add(collection);
-				void this.#fetch(collection, record, revisions[collection].changed);
+				const isOwnReader = record.region === this.options.region && storeAccess === StoreAccess.reading;
+				void this.#fetch(collection, record.peerAddress, revisions[collection].changed, isOwnReader);
 			}
 		}
 	}
 
-	async #fetch(collection: Collection, {peerAddress, region}: VmRecord, changed: number): Promise<void> {
+	async #fetch(collection: Collection, peerAddress: string, changed: number, isOwnReader: boolean): Promise<void> {
 		const {replicas, client, timers, logger, isReading, onAdopted} = this.options;
 		const replica = replicas[collection];
 		try {
-			if (replica.isLoaded && (isReading() || region !== this.options.region)) {
+			if (replica.isLoaded && (isReading() || !isOwnReader)) {
 				await timers.sleep(isReading() ? ownWatchMs : ownRegionMs);
 			}
 
--- a/packages/gateway/src/state/replica.ts
+++ b/packages/gateway/src/state/replica.ts
@@ -10,7 +10,7 @@
 export type ReplicaRevisions = {
 	/** The copy is complete up to this revision; -1 before it was read. */
 	readonly valid: number;
-	/** Revision by which its last known change had happened. */
+	/** Revision by which its last change had happened. */
 	readonly changed: number;
 };
 
@@ -29,6 +29,8 @@
 	#records = new Map<string, CollectionRecord>();
 	#valid = -1;
 	#changed = -1;
+	/** Whether `#changed` covers removals; a first listing shows only the last change of the records that are left. */
+	#knowsLastChange = false;
 	/** The last batches, in order; `revision` is that of the copy after the batch. */
 	readonly #batches: ChangeBatch[] = [];
 	/** Revision from which `#batches` holds all changes. */
@@ -38,6 +40,11 @@
 		return {valid: this.#valid, changed: this.#changed};
 	}
 
+	/** What peers may rely on: a copy that does not know its last change vouches only for its latest record. */
+	get toldRevisions(): ReplicaRevisions {
+		return this.#knowsLastChange ? this.revisions : {valid: this.#changed, changed: this.#changed};
+	}
+
 	get isLoaded(): boolean {
 		return this.#valid >= 0;
 	}
@@ -74,7 +81,8 @@
 		}
 
 		if (isFirst || change.changed.length > 0 || change.removed.length > 0) {
-			this.#changed = revision;
+			this.#changed = isFirst ? Math.max(0, ...records.map(record => record.revision)) : revision;
+			this.#knowsLastChange = !isFirst;
 			this.#records = new Map(records.map(record => [record.name, record]));
 			if (!isFirst) {
 				this.#keep(change);
@@ -106,6 +114,7 @@
 		this.#valid = Math.max(this.#valid, revision);
 		if (changed.length > 0 || removed.length > 0) {
 			this.#changed = this.#valid;
+			this.#knowsLastChange = true;
 			// What was removed and came back within the batch has changed only.
 			const change = {changed, removed: removed.filter(({name}) => !this.#records.has(name))};
 			this.#keep(change);
@@ -123,20 +132,23 @@
 			this.applyListing({records: peer.records, revision: peer.valid});
 		} else {
 			this.applyChanges({changes: peer.changes, revision: peer.valid});
+			this.#changed = peer.changed;
 		}
 
-		this.#changed = peer.changed;
 		return true;
 	}
 
 	/** Learns that a peer's copy, which has no change that this one lacks, is complete up to a higher revision; returns whether this moved the copy. */
 	confirm(peer: ReplicaRevisions): boolean {
-		if (!this.isLoaded || this.isBehind(peer) || peer.valid <= this.#valid) {
+		if (!this.isLoaded || this.isBehind(peer) || peer.valid < this.#valid) {
 			return false;
 		}
 
+		const isMoved = peer.valid > this.#valid;
 		this.#valid = peer.valid;
-		return true;
+		this.#changed = peer.changed;
+		this.#knowsLastChange = true;
+		return isMoved;
 	}
 
 	#difference(records: readonly CollectionRecord[]): ReplicaChange {
--- /dev/null
+++ b/packages/gateway/src/state/store-reading.ts
@@ -0,0 +1,66 @@
+import {type Logger, type TimerService} from '@fescuewick/core';
+import {type VmRecord} from '../model/records.js';
+import {type PeerTable} from '../peers/peer-table.js';
+import {readsStore, StoreAccess} from '../peers/store-readers.js';
+import {type StoreFollower} from './store-follower.js';
+import {type StoreGate} from './store-gate.js';
+
+/** A VM goes on reading for this time after another one's turn began, in milliseconds; two heartbeats, in which the other one learns of it and starts. */
+const readerHoldMs = 1000;
+
+type StoreReadingOptions = {
+	readonly self: VmRecord;
+	readonly isReady: () => boolean;
+	readonly peers: PeerTable;
+	readonly gate: StoreGate;
+	readonly followers: readonly StoreFollower[];
+	readonly timers: TimerService;
+	readonly logger: Logger;
+};
+
+/** Lets this VM watch the store while it is its turn to read for its region; a starting VM reads until it has heard of the others. */
+export class StoreReading {
+	#isReading = true;
+	#readsUntilMs = 0;
+
+	constructor(private readonly options: StoreReadingOptions) {}
+
+	/** Whether this VM watches the store. */
+	get isReading(): boolean {
+		return this.#isReading;
+	}
+
+	/** What this VM tells its peers of its access to the store. */
+	get access(): StoreAccess {
+		if (this.options.gate.isFailing) {
+			return StoreAccess.refused;
+		}
+
+		return this.#isReading ? StoreAccess.reading : StoreAccess.idle;
+	}
+
+	/** Starts or ends the watches as peers come, go or are refused; to be called regularly. */
+	update(): void {
+		const {self, isReady, peers, followers, timers, logger} = this.options;
+		const nowMs = timers.nowMs();
+		const others = [...peers.alive()]
+			.filter(({record}) => record.region === self.region)
+			.map(heartbeat => ({record: heartbeat.record, isReady: heartbeat.isReady, access: heartbeat.storeAccess}));
+		if (readsStore(self.vm, [...others, {record: self, isReady: isReady(), access: this.access}])) {
+			this.#readsUntilMs = nowMs + readerHoldMs;
+		}
+
+		const isReading = nowMs < this.#readsUntilMs;
+		if (isReading === this.#isReading) {
+			return;
+		}
+
+		this.#isReading = isReading;
+		logger.info({
+			event: 'store-reading', isReading, peers: others.length, refused: others.filter(({access}) => access === StoreAccess.refused).length,
+		}, isReading ? 'this VM watches the store' : 'this VM follows its peers');
+		for (const follower of followers) {
+			follower.setReading(isReading);
+		}
+	}
+}
