--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -43,7 +43,7 @@
 const retryPart = 0.75;
 /** Time after a failure of the store in which removed entries may be expirations, in milliseconds. */
 const lapseWindowMs = 3000;
-/** How often silent peers and held servers are looked for, in milliseconds. */
+/** How often silent peers are looked for, in milliseconds. */
 const expiryIntervalMs = 250;
 /** Time in which a starting VM hopes for its copies before it listens anyway, in milliseconds. */
 const startWaitMs = 1500;
@@ -103,7 +103,7 @@
 		this.#metrics = new Metrics({vm: location.vm});
 		this.#gate = new StoreGate({timers, logger, random});
 		this.#state = new FleetState({
-			timers, logger, mayHaveLapsed: () => this.#gate.isFailing || timers.nowMs() - Math.max(this.#gate.recoveredAtMs, this.#peers.storeRefusedAtMs) < lapseWindowMs,
+			timers, logger, mayHaveLapsed: () => this.#gate.isFailing || timers.nowMs() - this.#gate.recoveredAtMs < lapseWindowMs || this.#peers.isMostlyRefused(lapseWindowMs),
 		});
 		this.#peers = new PeerTable({self: this.#self, timers, logger});
 		this.#catchUp = new CatchUp({
@@ -218,7 +218,6 @@
 		this.#cancels.push(
 			timers.repeat(expiryIntervalMs, () => {
 				this.#peers.expire();
-				this.#state.expire();
 				this.#reading.update();
 			}),
 			timers.repeat(measureIntervalMs, () => {
--- a/packages/gateway/src/peers/catch-up.ts
+++ b/packages/gateway/src/peers/catch-up.ts
@@ -6,7 +6,7 @@
 import {StoreAccess} from './store-readers.js';
 
 /** Time left to the own watch to bring a change that a peer already has, in milliseconds; a little more than the longest time between two watches. */
-const ownWatchMs = 400;
+const ownWatchMs = 250;
 /** Time left to the readers of the own region to bring a change that another VM has, in milliseconds; they know the changes, and bytes between regions are dear. */
 const ownRegionMs = 600;
 
--- a/packages/gateway/src/peers/peer-table.test.ts
+++ b/packages/gateway/src/peers/peer-table.test.ts
@@ -64,3 +64,36 @@
 	t.deepEqual(table.sharersIn('north'), ['a1', 'c1']);
 	t.deepEqual(table.sharersIn('south'), []);
 });
+
+test('entries may have expired only if the store refused most of the VMs that read it', async t => {
+	// Guards against all VMs that go on using servers that left, because the store turned a few VMs away.
+	const {timers, table, hear} = createTable();
+	hear('b1', {sequence: 1, storeAccess: StoreAccess.refused});
+	hear('b2', {sequence: 1, storeAccess: StoreAccess.reading});
+	hear('b3', {sequence: 1, storeAccess: StoreAccess.reading});
+	hear('b4', {sequence: 1});
+	t.false(table.isMostlyRefused(3000));
+	hear('b2', {sequence: 2, storeAccess: StoreAccess.refused});
+	t.true(table.isMostlyRefused(3000));
+	await timers.advance(2000);
+	hear('b1', {sequence: 2, storeAccess: StoreAccess.reading});
+	hear('b2', {sequence: 3, storeAccess: StoreAccess.reading});
+	t.true(table.isMostlyRefused(3000), 'it was away less than 3 s ago');
+	await timers.advance(2000);
+	t.false(table.isMostlyRefused(3000));
+});
+
+test('a peer in a large region may be silent for two heartbeats and a half, as some go through VMs that have ended', async t => {
+	// Guards against callers that are sent away from a VM that serves, because two of its heartbeats were lost with the VMs that passed them on.
+	const {timers, table, hear} = createTable();
+	for (let vm = 0; vm < 10; vm++) {
+		hear(`b${vm}`, {sequence: 1});
+	}
+
+	await timers.advance(3400);
+	table.expire();
+	t.is([...table.alive()].length, 10);
+	await timers.advance(200);
+	table.expire();
+	t.is([...table.alive()].length, 0);
+});
--- a/packages/gateway/src/peers/peer-table.ts
+++ b/packages/gateway/src/peers/peer-table.ts
@@ -1,10 +1,13 @@
 import {type Logger, type TimerService} from '@fescuewick/core';
 import {type VmRecord} from '../model/records.js';
 import {type Heartbeat} from './heartbeat.js';
+import {isLargeRegion} from './heartbeat-recipients.js';
 import {StoreAccess} from './store-readers.js';
 
 /** A VM that was silent for longer is not named to callers, in milliseconds; two heartbeats of the slower interval and a half. */
 const aliveMs = 2500;
+/** The same for VMs of a large region or heard in one, in milliseconds: two heartbeats in a row may go through VMs that have just ended. */
+const relayedAliveMs = 3500;
 /**
 A silent VM keeps its part of shared limits for this time, in milliseconds, because it may be cut off and still serving.
 Cuts of the platform's network so far end within 10 s; the time is three times that.
@@ -77,8 +80,11 @@
 	expire(): void {
 		this.#forgetSharing();
 		const nowMs = this.options.timers.nowMs();
+		const records = [...this.records()];
+		const large = new Set([...new Set(records.map(({region}) => region))].filter(region => isLargeRegion(region, records)));
 		for (const [vm, peer] of this.#peers) {
-			if (peer.isAlive && nowMs - peer.heardAtMs > aliveMs) {
+			const limitMs = large.has(this.self.region) || large.has(peer.record.region) ? relayedAliveMs : aliveMs;
+			if (peer.isAlive && nowMs - peer.heardAtMs > limitMs) {
 				peer.isAlive = false;
 				this.options.logger.warn({event: 'peer-lost', vm, silentMs: Math.round(nowMs - peer.heardAtMs)}, 'peer is silent');
 			}
@@ -92,16 +98,20 @@
 		}
 	}
 
-	/** Time at which a live peer last told that the store refuses it, or minus infinity. */
-	get storeRefusedAtMs(): number {
-		let lastMs = Number.NEGATIVE_INFINITY;
-		for (const {isAlive, refusedAtMs} of this.#peers.values()) {
-			if (isAlive) {
-				lastMs = Math.max(lastMs, refusedAtMs);
+	/** Whether most of the live peers that call the store were refused in the last `windowMs`, so that its entries may have expired; a store that turns some VMs away serves the others. */
+	isMostlyRefused(windowMs: number): boolean {
+		const sinceMs = this.options.timers.nowMs() - windowMs;
+		let refused = 0;
+		let served = 0;
+		for (const {isAlive, heartbeat, refusedAtMs} of this.#peers.values()) {
+			if (isAlive && refusedAtMs > sinceMs) {
+				refused++;
+			} else if (isAlive && heartbeat?.storeAccess === StoreAccess.reading) {
+				served++;
 			}
 		}
 
-		return lastMs;
+		return refused > served;
 	}
 
 	/** The last heartbeats of live peers. */
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -9,8 +9,8 @@
 const removalWindowMs = 1500;
 /** From this many removals within the window, entries may have expired while the store was away. */
 const lapseCount = 2;
-/** How long backend servers whose entries may have expired stay in use, in milliseconds; the platform brings live ones back within about 2 s, and a leaving one may be used for `drainS`, 2.5 s in the deployments so far. */
-const lapseHoldMs = 2000;
+/** How long backend servers whose entries may have expired stay in use, in milliseconds; the platform brings live ones back within about 2 s, and a leaving one may be used for 2.5 s in the deployments so far, of which a VM needs up to half a second to learn of it. */
+const lapseHoldMs = 1900;
 
 /** A backend server in use, and when it was first seen in this form. */
 export type KnownBackend = {
@@ -66,8 +66,8 @@
 		return this.#evacuated.has(failureDomain);
 	}
 
-	/** Drops backend servers whose hold has ended; to be called regularly. */
-	expire(): void {
+	/** Drops backend servers whose hold has ended. */
+	#expire(): void {
 		const nowMs = this.options.timers.nowMs();
 		let isChanged = false;
 		for (const [id, {lapsesAtMs}] of this.#backends) {
@@ -141,6 +141,9 @@
 			const isHeld = isLapse && known.record.state === BackendState.ready;
 			if (isHeld) {
 				this.#backends.set(name, {...known, lapsesAtMs: nowMs + lapseHoldMs});
+				this.options.timers.after(lapseHoldMs, () => {
+					this.#expire();
+				});
 			} else {
 				this.#backends.delete(name);
 			}
--- a/packages/gateway/src/state/store-follower.ts
+++ b/packages/gateway/src/state/store-follower.ts
@@ -10,11 +10,11 @@
 /** Shortest time between two watches that each bring changes, in milliseconds; joins changes in quick succession into one call. */
 const watchGapMs = 40;
 /**
-Longest time between two watches while changes keep coming, in milliseconds; an eighth of the time in which a change must be in force.
+Longest time between two watches while changes keep coming, in milliseconds; servers that leave may be used for 2.5 s in the deployments so far, of which nearly 2 s are used up if their entries may have expired.
 
 Where 324 servers registered within 5 s, watches every 40 ms were two thirds of all calls before the first request.
 */
-const longestGapMs = 320;
+const longestGapMs = 160;
 /** A watch that brings changes after a longer wait than this ends a series of changes, in milliseconds. */
 const seriesMs = 400;
 /** Pause before listing again, in milliseconds; a store that keeps dropping its history must not be called without end. */
