End the hold of a server at its time, and keep a record that is changed and removed in one batch removed

The timer now ends the hold that it was set for. Found while reading the batches: a record that was changed and removed within one batch was passed on to peers as removed first and changed afterwards, and came back there; and a server that said that it drains and went within one batch was held as perhaps expired. Each has a test that failed first, but the early timer's, which was written with its fix.

--- a/packages/gateway/src/state/fleet-state.test.ts
+++ b/packages/gateway/src/state/fleet-state.test.ts
@@ -47,6 +47,27 @@
 	}
 });
 
+test('a server that says that it drains and goes within one batch is not kept', async t => {
+	// Guards against a server that left in an orderly way and is used for as long as one whose entry may have expired.
+	const {state} = createState(true);
+	await put(state, Collection.backends, 2, {name: 'a', value: backendRecord('a')});
+	const draining = backendRecord('a', {state: BackendState.draining});
+	state.replicas[Collection.backends].applyChanges({changes: [{record: {name: 'a', revision: 3, value: draining}, isRemoved: false}, {record: {name: 'a', revision: 4, value: draining}, isRemoved: true}], revision: 4});
+	await settle();
+	t.false(state.backends.has('a'));
+});
+
+test('a hold ends also if its timer comes a fraction of a millisecond early', async t => {
+	// Guards against a server that left and stays in use until the next one does.
+	const {state, timers} = createState(true);
+	const {after} = timers;
+	timers.after = (delayMs, action) => after.call(timers, delayMs - 0.5, action);
+	await put(state, Collection.backends, 2, {name: 'a', value: backendRecord('a')});
+	await put(state, Collection.backends, 3, {name: 'a', value: undefined});
+	await timers.advance(1900);
+	t.false(state.backends.has('a'));
+});
+
 test('a draining server is not kept when its entry is removed after an outage', async t => {
 	const {state} = createState(true);
 	await put(state, Collection.backends, 2, {name: 'a', value: backendRecord('a', {state: BackendState.draining})});
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -66,19 +66,12 @@
 		return this.#evacuated.has(failureDomain);
 	}
 
-	/** Drops backend servers whose hold has ended. */
-	#expire(): void {
-		const nowMs = this.options.timers.nowMs();
-		let isChanged = false;
-		for (const [id, {lapsesAtMs}] of this.#backends) {
-			if (lapsesAtMs !== undefined && lapsesAtMs <= nowMs) {
-				this.#backends.delete(id);
-				this.options.logger.info({event: 'backend-gone', server: id, reason: 'its entry did not come back'}, 'backend server is gone');
-				isChanged = true;
-			}
-		}
-
-		if (isChanged) {
+	/** Drops a backend server whose hold has ended, unless its entry came back. */
+	#endHold(held: KnownBackend): void {
+		const {id} = held.record;
+		if (this.#backends.get(id) === held) {
+			this.#backends.delete(id);
+			this.options.logger.info({event: 'backend-gone', server: id, reason: 'its entry did not come back'}, 'backend server is gone');
 			void this.events.emit('backends');
 		}
 	}
@@ -129,8 +122,9 @@
 
 	#onRemoved(removed: readonly CollectionRecord[], nowMs: number): void {
 		this.#removedAtMs = this.#removedAtMs.filter(atMs => atMs > nowMs - removalWindowMs);
-		const undrained = removed.filter(({name}) => this.#backends.get(name)?.record.state === BackendState.ready);
-		this.#removedAtMs.push(...undrained.map(() => nowMs));
+		// The change to draining may have come in the same batch as the removal.
+		const undrained = new Set(removed.filter(({name, value}) => ((value as BackendRecord | undefined) ?? this.#backends.get(name)?.record)?.state === BackendState.ready).map(({name}) => name));
+		this.#removedAtMs.push(...[...undrained].map(() => nowMs));
 		const isLapse = this.options.mayHaveLapsed() || this.#removedAtMs.length >= lapseCount;
 		for (const {name} of removed) {
 			const known = this.#backends.get(name);
@@ -138,11 +132,12 @@
 				continue;
 			}
 
-			const isHeld = isLapse && known.record.state === BackendState.ready;
+			const isHeld = isLapse && undrained.has(name);
 			if (isHeld) {
-				this.#backends.set(name, {...known, lapsesAtMs: nowMs + lapseHoldMs});
+				const held = {...known, lapsesAtMs: nowMs + lapseHoldMs};
+				this.#backends.set(name, held);
 				this.options.timers.after(lapseHoldMs, () => {
-					this.#expire();
+					this.#endHold(held);
 				});
 			} else {
 				this.#backends.delete(name);
--- a/packages/gateway/src/state/replica.test.ts
+++ b/packages/gateway/src/state/replica.test.ts
@@ -124,3 +124,15 @@
 	t.deepEqual(first.toldRevisions, {valid: 3, changed: 3});
 	t.is(first.revisions.valid, 40);
 });
+
+test('a record that is changed and removed within a batch is gone, also for peers', t => {
+	// Guards against a backend server that left and comes back for good in the copies of peers.
+	const reader = new Replica();
+	reader.applyListing({records: [record('a', 3), record('b', 4)], revision: 4});
+	const peer = new Replica();
+	peer.adopt(reader.since(-1));
+	reader.applyChanges({changes: [{record: record('a', 5), isRemoved: false}, {record: record('a', 6), isRemoved: true}], revision: 6});
+	t.deepEqual([...reader.records.keys()], ['b']);
+	t.true(peer.adopt(reader.since(4)));
+	t.deepEqual([...peer.records.keys()], ['b']);
+});
--- a/packages/gateway/src/state/replica.ts
+++ b/packages/gateway/src/state/replica.ts
@@ -103,7 +103,7 @@
 			if (isRemoved) {
 				if (known !== undefined && known.revision <= record.revision) {
 					this.#records.delete(record.name);
-					removed.push(known);
+					removed.push({...known, value: record.value ?? known.value});
 				}
 			} else if (known === undefined || known.revision < record.revision) {
 				this.#records.set(record.name, record);
@@ -115,8 +115,11 @@
 		if (changed.length > 0 || removed.length > 0) {
 			this.#changed = this.#valid;
 			this.#knowsLastChange = true;
-			// What was removed and came back within the batch has changed only.
-			const change = {changed, removed: removed.filter(({name}) => !this.#records.has(name))};
+			// Peers get the removals of a batch before its changes, so a record is in one of the two: in which state it is at the end.
+			const change = {
+				changed: changed.filter(record => this.#records.get(record.name) === record),
+				removed: removed.filter(({name}) => !this.#records.has(name)),
+			};
 			this.#keep(change);
 			this.#emit(change);
 		}
