Split the gateway's tests of several VMs from those of one

The tests of fleets are in gateway-fleet.test.ts and the steps that both use in testing/gateway-steps.ts.

--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -1,48 +1,17 @@
 import {type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import test, {type ExecutionContext} from 'ava';
+import test from 'ava';
 import {Collection} from '@fescuewick/store';
-import {type BackendRecord} from './model/records.js';
 import {
-	configuration, backendRecord, route, workspace,
+	answerNotRun, answerOk, headerOf, type Answering,
+} from './testing/backend-stand-in.js';
+import {
+	configuration, route, workspace,
 } from './testing/fixtures.js';
 import {
-	answerNotRun, answerOk, BackendStandIn, headerOf, type Answering,
-} from './testing/backend-stand-in.js';
-import {type MemoryCollectionStore} from './testing/memory-collection-store.js';
-import {startGateway, storeWith, type StartedGateway} from './testing/start-gateway.js';
-
-type BackendOptions = Partial<BackendRecord> & {readonly id: string; readonly answering?: Answering};
-
-async function addBackend(t: ExecutionContext, store: MemoryCollectionStore, {id, answering, ...changes}: BackendOptions): Promise<BackendStandIn> {
-	const server = new BackendStandIn(answering);
-	store.set(Collection.backends, id, backendRecord(id, {address: await server.listen(), ...changes}));
-	t.teardown(() => {
-		server.close();
-	});
-	return server;
-}
-
-async function start(t: ExecutionContext, ...parameters: Parameters<typeof startGateway>): Promise<StartedGateway> {
-	const started = await startGateway(...parameters);
-	t.teardown(async () => started.gateway.stop());
-	return started;
-}
-
-async function until(condition: () => boolean | Promise<boolean>): Promise<void> {
-	while (!await condition()) {
-		await sleep(20);
-	}
-}
-
-async function statusOf(response: Promise<Response>): Promise<number> {
-	const {status} = await response;
-	return status;
-}
-
-function code(response: Response): string | null {
-	return response.headers.get('x-fescuewick-code');
-}
+	addBackend, code, start, statusOf, until,
+} from './testing/gateway-steps.js';
+import {startGateway, storeWith} from './testing/start-gateway.js';
 
 test('a request reaches a server with its workspace and without its key', async t => {
 	const store = storeWith(configuration(1));
@@ -305,33 +274,6 @@
 	t.true(responses.some(response => code(response) === '1202'));
 });
 
-test('a few VMs of a region watch the store and the others follow them', async t => {
-	// Guards against calls to the store that grow with the fleet, and against VMs that miss a change or the end of their readers.
-	const store = storeWith(configuration(1));
-	const first = await start(t, {store, vm: 'a1'});
-	const others = await Promise.all(['a2', 'a3', 'a4', 'a5', 'a6'].map(async vm => start(t, {
-		store, vm, failureDomain: 'north-2', seeds: [first.settings.listen.peers],
-	})));
-	const gateways = [first, ...others];
-	const readers = () => gateways.filter(({lines}) => lines.findLast(({event}) => event === 'store-reading')?.isReading !== false);
-	await until(() => readers().length === 3);
-	await sleep(200);
-	store.calls.length = 0;
-	const hasChanged = ({lines}: StartedGateway, version: number) => lines.some(line => line.event === 'configuration' && line.version === version);
-	store.set(Collection.configurations, 'main', configuration(2));
-	const startedAtMs = performance.now();
-	await until(() => gateways.every(gateway => hasChanged(gateway, 2)));
-	t.true(performance.now() - startedAtMs < 1000, 'one heartbeat and a call to a peer');
-	t.true(store.calls.length <= 6, store.calls.join(', '));
-	const [leaving] = readers();
-	await leaving.gateway.stop();
-	const left = gateways.filter(gateway => gateway !== leaving);
-	await until(() => left.filter(gateway => readers().includes(gateway)).length === 3);
-	store.set(Collection.configurations, 'main', configuration(3));
-	await until(() => left.every(gateway => hasChanged(gateway, 3)));
-	t.false(store.calls.some(call => call.startsWith('list')), 'no VM reads whole collections again');
-});
-
 test('a request that may not be repeated avoids connections that rested while others forget theirs', async t => {
 	// Guards against orders with an unknown outcome: a server that has forgotten a resting connection resets what is sent on it next.
 	const store = storeWith(configuration(1));
@@ -357,71 +299,6 @@
 	t.is(forgetful.requests.length, 3);
 });
 
-test('VMs of large regions hear each other through relays, also when some of them end', async t => {
-	// Guards against a region or failure domain that loses sight of another one as its relays end.
-	const store = storeWith(configuration(1));
-	const first = await start(t, {store, vm: 'n0'});
-	const places = Array.from({length: 20}, (_, index) => index < 10 ? `north-${1 + (index % 2)}` : 'south-1');
-	const gateways = [first, ...await Promise.all(places.slice(1).map(async (failureDomain, index) => startGateway({
-		store, vm: `vm-${index}`, failureDomain, seeds: [first.settings.listen.peers],
-	})))];
-	t.teardown(async () => Promise.all(gateways.map(async ({gateway}) => gateway.stop())));
-	const heard = ({lines}: StartedGateway) => new Set(lines.filter(({event}) => event === 'peer-regained').map(({vm}) => vm)).size;
-	await until(() => gateways.every(gateway => heard(gateway) === gateways.length - 1));
-	const ending = [gateways[3], gateways[15]];
-	await Promise.all(ending.map(async ({gateway}) => gateway.stop()));
-	const ended = new Set(ending.map(({settings}) => settings.location.vm));
-	await sleep(5000);
-	const left = gateways.filter(gateway => !ending.includes(gateway));
-	const lost = left.flatMap(({lines}) => lines.filter(({event}) => event === 'peer-lost').map(({vm}) => String(vm)));
-	t.deepEqual([...new Set(lost)].filter(vm => !ended.has(vm)), []);
-	t.is(lost.length, ending.length * left.length);
-});
-
-test('VMs that start together learn of each other from a seed', async t => {
-	// Guards against VMs that stay unknown because the list they read was older than the others' records, and against each of them reading the whole list.
-	const store = storeWith(configuration(1));
-	store.staleListing = {collection: Collection.vms, listing: {records: [], revision: 1}};
-	const first = await start(t, {store, vm: 'a1'});
-	const names = ['a2', 'a3', 'a4', 'a5', 'a6'];
-	const others = await Promise.all(names.map(async vm => start(t, {store, vm, seeds: [first.settings.listen.peers]})));
-	const regained = ({lines}: StartedGateway) => lines.filter(({event}) => event === 'peer-regained').length;
-	await until(() => [first, ...others].every(gateway => regained(gateway) === names.length));
-	await sleep(2500);
-	// The first VM has nobody to ask while it starts.
-	t.true(store.calls.filter(call => call === 'list vms').length <= names.length + 3, store.calls.filter(call => call === 'list vms').length.toString());
-});
-
-test('a VM that the store refuses takes changes over from its peers', async t => {
-	const shared = storeWith(configuration(1));
-	const first = await start(t, {store: shared, vm: 'a1'});
-	const cut = storeWith(configuration(1));
-	cut.setDown(true);
-	const second = await start(t, {store: cut, vm: 'a2', seeds: [first.settings.listen.peers]});
-	await until(async () => await statusOf(second.call('/check/1')) !== 503 || second.lines.some(({event}) => event === 'configuration'));
-	shared.set(Collection.configurations, 'main', configuration(5, {routes: [route({host: '127.0.0.1', pathPrefix: '/new/'})]}));
-	await until(() => second.lines.some(({event, version}) => event === 'configuration' && version === 5));
-	t.is(await statusOf(second.call('/check/1')), 404);
-});
-
-test('the directory names ready VMs of the caller\'s failure domain, else of its region', async t => {
-	const store = storeWith(configuration(1));
-	const first = await start(t, {store, vm: 'a1', failureDomain: 'north-1'});
-	const second = await start(t, {store, vm: 'b1', failureDomain: 'north-2'});
-	const ask = async (domain: string) => {
-		const response = await fetch(`http://${first.settings.listen.directory}/directory?domain=${domain}&region=north`);
-		return ((await response.json()) as {addresses: string[]}).addresses;
-	};
-
-	await until(async () => {
-		const [address] = await ask('north-2');
-		return address === second.settings.listen.entry;
-	});
-	t.deepEqual(await ask('north-1'), [first.settings.listen.entry]);
-	const both = await ask('north-3');
-	t.is(both.length, 2);
-});
-
 test.serial('a stopping VM is not ready, ends what it has accepted, and then refuses', async t => {
 	const store = storeWith(configuration(1));
 	await addBackend(t, store, {
