Let a new VM begin with a useful share of a workspace's rate

Cause: a holder that joins gets what the others leave free at that moment. Until they have given way, that is what rounding and changing demand leave. A VM counts as ready with one token for each workspace, so it can begin to serve with such a part and refuses all but one caller until its next renewal, 1 s later.

Now a holder without demand gets nothing until half of its target is free. Holders with demand still take what there is. Readiness comes up to 1 s later where such a remainder came first.

--- a/packages/shares/src/allocator/share-pool.test.ts
+++ b/packages/shares/src/allocator/share-pool.test.ts
@@ -112,6 +112,33 @@
 });
 
 // Guards against a report that was under way for long and hides slots that the holder uses.
+// Guards against a VM that starts to serve with whatever happened to be free, as 1 request a second, and refuses its first callers as over the rate.
+test('a new holder without demand gets nothing until a useful part is free', t => {
+	const pool = createPool();
+	const settle = (demands: Record<string, number>, fromMs: number) => {
+		const grants: Record<string, ShareGrant> = {};
+		for (let round = 0; round < 4; round++) {
+			for (const [holder, wanted] of Object.entries(demands)) {
+				grants[holder] = pool.renew(holder, demandOf(wanted, 0, grants[holder]), fromMs + (round * 1000));
+			}
+		}
+
+		return grants;
+	};
+
+	const {a, b} = settle({a: 30, b: 30}, 0);
+	// The part of a falls by about 1 of 100 and is confirmed, and b does not ask before c does.
+	const reduced = pool.renew('a', demandOf(29, 0, a), 4000);
+	pool.renew('a', demandOf(29, 0, reduced), 4250);
+	t.true(pool.free(4250).ratePerS > 0);
+	t.is(pool.renew('c', demandOf(0), 4260).ratePerS, 0);
+	// A holder that is asked for takes what there is.
+	t.true(pool.renew('d', demandOf(1), 4270).ratePerS > 0);
+	const shared = settle({a: 29, b: 30, c: 0, d: 1}, 5000);
+	t.true(shared.c.ratePerS > 1);
+	t.true(b.ratePerS > 40);
+});
+
 test('an older report of a holder does not lower what it is counted with', t => {
 	const pool = new SharePool(ShareKind.slots, 's', 2);
 	pool.resize(slotAmount(8, 8), slotAmount(8, 8), 0);
--- a/packages/shares/src/allocator/share-pool.ts
+++ b/packages/shares/src/allocator/share-pool.ts
@@ -11,6 +11,9 @@
 /** Targets are computed at most this often, so that the cost does not grow with the square of the holders. */
 const targetAgeMs = 250;
 
+/** A holder without demand begins with at least this part of its target. While the other holders give way, the free part is what rounding and changing demand leave, as 0.8 requests a second of 100; a VM that began to serve with it would refuse callers of a workspace that is far from its rate. */
+const leastFirstPart = 0.5;
+
 /** Divides one resource of a failure domain among holders; nothing is credited before it is debited elsewhere. */
 export class SharePool {
 	readonly #leases = new LeaseTable();
@@ -150,7 +153,7 @@
 		const current = lease.issued;
 		// What a holder reports is debited but never a ground for a grant: the report may have been under way for long.
 		const spare = subtractAmounts(subtractAmounts(this.#lend, others), rateAmount(0, lease.uncoveredTokens));
-		const amount = this.#whole(minAmounts(target, maxAmounts(current, spare)));
+		const amount = this.#firstPart(current, this.#whole(minAmounts(target, maxAmounts(current, spare))), target, demand.wanted);
 		const growth = Math.max(0, amount.burst - current.burst);
 		const room = Math.max(0, amount.burst - demand.tokens);
 		// Tokens beyond the growth of the burst need unlent burst until the holder has confirmed them.
@@ -194,6 +197,12 @@
 		return this.kind === ShareKind.rate ? amount : slotAmount(Math.floor(amount.slots), Math.floor(amount.connections));
 	}
 
+	/** The amount to grant, which is nothing to a holder that would begin with a useless part. */
+	#firstPart(current: Amount, amount: Amount, target: Amount, wanted: number): Amount {
+		const isBeginning = this.kind === ShareKind.rate && current.ratePerS === 0 && wanted === 0;
+		return isBeginning && amount.ratePerS < target.ratePerS * leastFirstPart ? zeroAmount : amount;
+	}
+
 	#targetOf(holder: string, nowMs: number): Amount {
 		if (this.#targets === undefined || nowMs - this.#targetsAtMs >= targetAgeMs) {
 			this.#targets = this.#computeTargets();
