Split the run of a request and remove copies of the list of collections

Heartbeats, copies between peers and the gateway use one list of followed collections. Grouping is es-toolkit's. KnownBackend.lapsesAtMs was not read any more. The number of known peers is no longer found by listing them. No behaviour changes.

--- /dev/null
+++ b/packages/gateway/src/forward/request-placement.ts
@@ -0,0 +1,35 @@
+import {boundRegion, homesOf} from '../placement/homes.js';
+import {type Placement, type NoPlacement} from '../placement/placer.js';
+import {affinityKeyOf, type AdmittedRequest} from './admitted-request.js';
+import {type ForwardingContext} from './forwarding-context.js';
+
+/** Finds servers for one request: none twice, and all in the region that was chosen for it. */
+export class RequestPlacement {
+	readonly #excluded = new Set<string>();
+	readonly #homes: readonly string[] | undefined;
+	/** The region that the homes bind the request to. */
+	readonly boundRegion: string | undefined;
+	#region: string | undefined;
+
+	constructor(private readonly context: Pick<ForwardingContext, 'placer' | 'random'>, private readonly admitted: AdmittedRequest) {
+		this.#homes = homesOf(admitted.route, admitted.workspace);
+		this.boundRegion = boundRegion(this.#homes, context.placer.region);
+	}
+
+	/** Chooses the region of a request without homes; requests with homes stay in them. */
+	chooseRegion(): void {
+		const {placer, random} = this.context;
+		this.#region = this.#homes === undefined ? placer.regionFor(this.admitted.service, affinityKeyOf(this.admitted), random()) : undefined;
+	}
+
+	/** Leaves a server out from now on. */
+	exclude(server: string): void {
+		this.#excluded.add(server);
+	}
+
+	find(): Placement | NoPlacement {
+		return this.context.placer.place({
+			service: this.admitted.service, affinityKey: affinityKeyOf(this.admitted), homeRegions: this.#homes, boundRegion: this.boundRegion, excluded: this.#excluded, region: this.#region,
+		});
+	}
+}
--- a/packages/gateway/src/forward/request-run.ts
+++ b/packages/gateway/src/forward/request-run.ts
@@ -1,17 +1,16 @@
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {
 	ResultCode, resultCodeTable, type Cancel,
 } from '@fescuewick/core';
-import {type AnswerHead} from '@fescuewick/entry/http';
 import {retryAfterMs} from '../admission/admission.js';
 import {type ActiveRequest} from '../admission/waiting-lines.js';
-import {boundRegion, homesOf} from '../placement/homes.js';
 import {NoPlacement, type Placement} from '../placement/placer.js';
-import {affinityKeyOf, type AdmittedRequest} from './admitted-request.js';
-import {AnswerKind, answerProblem, judgeAnswer} from './answer-verdict.js';
-import {AnswerWriter} from './answer-writer.js';
+import {type AdmittedRequest} from './admitted-request.js';
+import {AnswerRelay} from './answer-relay.js';
+import {AnswerKind, judgeAnswer} from './answer-verdict.js';
 import {sendError} from './error-answer.js';
 import {type ForwardingContext} from './forwarding-context.js';
+import {RequestPlacement} from './request-placement.js';
 import {summarize} from './request-summary.js';
 import {FailureKind, mayRetry} from './retry-policy.js';
 import {
@@ -20,8 +19,6 @@
 import {Sendings} from './sendings.js';
 import {SlotWait, slotWaitLimitMs} from './slot-wait.js';
 
-/** Answers up to this size are held until they are complete, so that a broken one can be replaced; longer ones are passed on as they come. */
-const maxHeldBytes = 262_144;
 /** A request that takes this many times its usual duration may be sent to a second server as well. */
 const rescueFactor = 4;
 /** Shortest time after which that is done, in milliseconds. */
@@ -30,32 +27,32 @@
 /** Leads one request to its answer: waits for a slot, sends it, sends it again where that is safe, and answers once. */
 export class RequestRun implements ActiveRequest, SendingListener {
 	readonly priority: number;
-	readonly #excluded = new Set<string>();
 	readonly #sendings: Sendings;
 	readonly #cancels: Cancel[] = [];
-	readonly #homes: readonly string[] | undefined;
-	/** The region that the homes bind the request to. */
-	readonly #boundRegion: string | undefined;
-	#region: string | undefined;
+	readonly #servers: RequestPlacement;
 	#runs = 0;
 	#attempts = 0;
 	#isOver = false;
 	#lastServer: string | undefined;
+	/** Where it was sent last. */
 	#placement: Placement | undefined;
 	/** A server's error answer, passed on if no other server can be tried. */
-	#fallback: {readonly sending: Sending; readonly head: AnswerHead} | undefined;
-	readonly #writer: AnswerWriter;
+	#fallback: Sending | undefined;
+	readonly #answers: AnswerRelay;
 	readonly #wait: SlotWait;
 
 	constructor(private readonly context: ForwardingContext, private readonly admitted: AdmittedRequest) {
 		this.priority = admitted.workspace?.priority ?? admitted.route.priority;
-		this.#homes = homesOf(admitted.route, admitted.workspace);
-		this.#boundRegion = boundRegion(this.#homes, context.placer.region);
+		this.#servers = new RequestPlacement(context, admitted);
 		this.#sendings = new Sendings(() => {
 			context.lines.roomFor(admitted.service);
 		});
 		this.#wait = new SlotWait(this, context.lines.of(admitted.service), context.timers);
-		this.#writer = new AnswerWriter(admitted.response, admitted.request.method!, context.isDraining);
+		this.#answers = new AnswerRelay({
+			admitted, context, sendings: this.#sendings, onBroken: (sending, reason) => {
+				this.onFail(sending, new Error(reason));
+			},
+		});
 	}
 
 	get arrivedAtMs(): number {
@@ -65,10 +62,9 @@
 	/** Starts the request. */
 	start(): void {
 		const {response, deadlineAtMs, service} = this.admitted;
-		const {timers, lines, placer, work, random} = this.context;
-		work.arrived(service, this.#boundRegion);
-		// Requests with homes stay in them; the others are dealt out to regions.
-		this.#region = this.#homes === undefined ? placer.regionFor(service, affinityKeyOf(this.admitted), random()) : undefined;
+		const {timers, lines, work} = this.context;
+		work.arrived(service, this.#servers.boundRegion);
+		this.#servers.chooseRegion();
 		response.once('close', () => {
 			if (!response.writableFinished) {
 				this.#leave();
@@ -92,7 +88,7 @@
 
 	/** Sends the request if a server has room; returns whether it was sent or answered. */
 	#tryPlace(): boolean {
-		const placement = this.#place();
+		const placement = this.#servers.find();
 		if (placement === NoPlacement.full) {
 			return false;
 		}
@@ -109,12 +105,6 @@
 		return true;
 	}
 
-	#place(): Placement | NoPlacement {
-		return this.context.placer.place({
-			service: this.admitted.service, affinityKey: affinityKeyOf(this.admitted), homeRegions: this.#homes, boundRegion: this.#boundRegion, excluded: this.#excluded, region: this.#region,
-		});
-	}
-
 	/** Ends the request when the process has to stop. */
 	abandon(): void {
 		this.#giveUp(this.#runs > 0 ? ResultCode.backendCut : ResultCode.draining, 'the VM stops');
@@ -146,7 +136,7 @@
 		const {backend} = placement;
 		const nowMs = timers.nowMs();
 		const sending = openSending(this.admitted, backend, nowMs, this);
-		this.#excluded.add(backend.id);
+		this.#servers.exclude(backend.id);
 		if (sending === undefined) {
 			this.#next(FailureKind.notRun, ResultCode.noBackend, 'no connection is left');
 			return;
@@ -180,7 +170,7 @@
 			}
 
 			sending.backend.outcome(true, undefined, timers.nowMs());
-			const placement = this.#place();
+			const placement = this.#servers.find();
 			// The first attempt goes on if there is no second server for the request.
 			if (typeof placement !== 'string' && this.#allowsRetry(FailureKind.unknown)) {
 				this.#send(placement);
@@ -190,36 +180,7 @@
 
 	/** A piece of an answer has arrived. */
 	onData(sending: Sending, chunk: Buffer): boolean {
-		if (sending.isStreaming) {
-			return this.#pass(sending, chunk);
-		}
-
-		sending.chunks.push(Buffer.from(chunk));
-		sending.sizeBytes += chunk.length;
-		return sending.sizeBytes <= maxHeldBytes || this.#beginStream(sending);
-	}
-
-	/** Starts to pass on a long answer; the other attempts end. */
-	#beginStream(sending: Sending): boolean {
-		const problem = answerProblem(sending, this.admitted, this.context);
-		if (problem !== undefined) {
-			sending.attempt.cancel();
-			this.onFail(sending, new Error(problem));
-			return false;
-		}
-
-		sending.isStreaming = true;
-		this.#sendings.cancelOthers(sending);
-		this.#writer.begin(sending.attempt.head!);
-		const {chunks} = sending;
-		sending.chunks = [];
-		return this.#pass(sending, Buffer.concat(chunks));
-	}
-
-	#pass(sending: Sending, chunk: Buffer): boolean {
-		return this.#writer.write(chunk, () => {
-			sending.attempt.resume();
-		});
+		return this.#answers.take(sending, chunk);
 	}
 
 	/** An answer has arrived whole. */
@@ -229,7 +190,7 @@
 		this.#sendings.finish(sending);
 		if (sending.isStreaming) {
 			backend.connections.release(attempt.connection);
-			this.#writer.end();
+			this.#answers.end();
 			this.#over(ResultCode.ok, head.status);
 			return;
 		}
@@ -249,26 +210,26 @@
 
 			case AnswerKind.serverError: {
 				this.#runs++;
-				this.#afterServerError(sending, head);
+				this.#afterServerError(sending);
 				break;
 			}
 
 			case AnswerKind.done: {
 				this.#runs++;
-				this.#answer(sending, head);
+				this.#answer(sending);
 			}
 		}
 	}
 
 	/** Keeps a server's error answer while another server is at work on the request or can be asked; else passes it on. */
-	#afterServerError(sending: Sending, head: AnswerHead): void {
+	#afterServerError(sending: Sending): void {
 		if (this.#sendings.count > 0) {
-			this.#fallback = {sending, head};
+			this.#fallback = sending;
 		} else if (this.#allowsRetry(FailureKind.serverError)) {
-			this.#fallback = {sending, head};
+			this.#fallback = sending;
 			this.#again();
 		} else {
-			this.#answer(sending, head);
+			this.#answer(sending);
 		}
 	}
 
@@ -333,10 +294,10 @@
 	}
 
 	/** Answers with what a server answered. */
-	#answer(sending: Sending, head: AnswerHead): void {
+	#answer(sending: Sending): void {
 		this.#sendings.cancelOthers(sending);
-		this.#writer.whole(head, Buffer.concat(sending.chunks));
-		this.#over(ResultCode.ok, head.status);
+		this.#answers.writeHeld(sending);
+		this.#over(ResultCode.ok, sending.attempt.head!.status);
 	}
 
 	#expire(): void {
@@ -351,7 +312,7 @@
 		}
 
 		if (this.#fallback !== undefined) {
-			this.#answer(this.#fallback.sending, this.#fallback.head);
+			this.#answer(this.#fallback);
 			return;
 		}
 
@@ -359,7 +320,7 @@
 		const isNotRun = this.#runs === 0 && !this.#sendings.mayHaveRun;
 		this.#sendings.cancelOthers(undefined);
 		if (isNotRun) {
-			context.work.refused(service, this.#boundRegion);
+			context.work.refused(service, this.#servers.boundRegion);
 			if (workspace !== undefined) {
 				context.limiter.giveBack(workspace.name);
 			}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,12 +29,11 @@
 } from './server/side-servers.js';
 import {type GatewaySettings} from './settings.js';
 import {FleetState} from './state/fleet-state.js';
+import {followedCollections} from './state/followed-collections.js';
 import {StoreFollower} from './state/store-follower.js';
 import {StoreGate} from './state/store-gate.js';
 import {StoreReading} from './state/store-reading.js';
 
-/** Collections that every VM follows; VMs are read at the start and learned from heartbeats afterwards. */
-const followed = [Collection.configurations, Collection.backends, Collection.evacuations] as const;
 /** Mean wait of a watch, in milliseconds. With each VM's watches ending at another time, some VM soon notices that open connections went silent, and tells the others. */
 const watchWaitMs = 8000;
 /** Time a directory answer may be used, in milliseconds; a lost VM is named for at most this long after its peers noticed. */
@@ -136,7 +135,7 @@
 				this.#gossip.send(Reach.fleet);
 			},
 		});
-		this.#followers = Object.fromEntries(followed.map(collection => [collection, new StoreFollower({
+		this.#followers = Object.fromEntries(followedCollections.map(collection => [collection, new StoreFollower({
 			store: deps.store, collection, replica: this.#state.replicas[collection], gate: this.#gate, timers, logger,
 			watchWaitMs: () => Math.round(watchWaitMs * (0.75 + (random() / 2))),
 		})]));
@@ -177,7 +176,7 @@
 		this.#handler = new RequestHandler(context, () => this.#state.configuration);
 		this.#front = createFrontServer(this.#handler, logger);
 		this.#sideServers = this.#createSideServers();
-		for (const collection of followed) {
+		for (const collection of followedCollections) {
 			this.#state.replicas[collection].events.on('change', () => {
 				if (this.#reading.isReading && this.#isListening) {
 					// The other VMs of the region take the change over when they hear of the new revision.
@@ -297,7 +296,7 @@
 			incarnation: this.#incarnation,
 			isReady: this.isReady,
 			storeAccess: this.#reading.access,
-			revisions: Object.fromEntries(followed.map(collection => [collection, this.#state.replicas[collection].toldRevisions])),
+			revisions: Object.fromEntries(followedCollections.map(collection => [collection, this.#state.replicas[collection].toldRevisions])),
 			buckets: this.#limiter.reports(isFull),
 			work: this.#ownWork(),
 			movedParts: this.#placer.movedParts(),
--- a/packages/gateway/src/peers/catch-up.ts
+++ b/packages/gateway/src/peers/catch-up.ts
@@ -1,5 +1,6 @@
 import {toFescuewickError, type Logger, type TimerService} from '@fescuewick/core';
-import {Collection} from '@fescuewick/store';
+import {type Collection} from '@fescuewick/store';
+import {followedCollections} from '../state/followed-collections.js';
 import {type Replica} from '../state/replica.js';
 import {type Heartbeat} from './heartbeat.js';
 import {type PeerClient} from './peer-client.js';
@@ -23,8 +24,6 @@
 	readonly onAdopted: (collection: Collection) => void;
 };
 
-const relayed = [Collection.configurations, Collection.backends, Collection.evacuations] as const;
-
 /** Takes copies over from peers that know of changes which the store has not told this VM. */
 export class CatchUp {
 	readonly #running = new Set<Collection>();
@@ -33,7 +32,7 @@
 
 	/** Compares a peer's revisions with the own ones and fetches what is missing; a copy that misses nothing is valid as far as the peer's. */
 	onHeartbeat({record, storeAccess, revisions}: Heartbeat): void {
-		for (const collection of relayed) {
+		for (const collection of followedCollections) {
 			const replica = this.options.replicas[collection];
 			replica.confirm(revisions[collection]);
 			if (!this.#running.has(collection) && replica.isBehind(revisions[collection])) {
--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -60,7 +60,7 @@
 	send(reach: Reach): void {
 		const {table, describe} = this.options;
 		this.#sequence++;
-		const isFull = isFullHeartbeat(this.#sequence, [...table.records()].length);
+		const isFull = isFullHeartbeat(this.#sequence, table.size);
 		this.#pass(encodeHeartbeat({...describe(isFull), sequence: this.#sequence}), this.#sequence, reach);
 	}
 
--- a/packages/gateway/src/peers/heartbeat-recipients.ts
+++ b/packages/gateway/src/peers/heartbeat-recipients.ts
@@ -1,3 +1,4 @@
+import {groupBy} from 'es-toolkit';
 import {type VmRecord} from '../model/records.js';
 
 /** How far a heartbeat is to go from the VM that gets it. */
@@ -55,7 +56,7 @@
 	}
 
 	const ownRegion = peers.filter(({region, failureDomain}) => region === own.region && failureDomain !== own.failureDomain);
-	for (const members of groups(ownRegion, ({failureDomain}) => failureDomain)) {
+	for (const members of Object.values(groupBy(ownRegion, ({failureDomain}) => failureDomain))) {
 		yield * members.length > smallDomainVms ? throughOne(members, Reach.failureDomain, passage) : direct(members);
 	}
 
@@ -64,7 +65,7 @@
 	}
 
 	const elsewhere = peers.filter(({region}) => region !== own.region);
-	for (const members of groups(elsewhere, ({region}) => region)) {
+	for (const members of Object.values(groupBy(elsewhere, ({region}) => region))) {
 		yield * members.length > smallRegionVms ? throughOne(members, Reach.region, passage) : direct(members);
 	}
 }
@@ -81,17 +82,3 @@
 	const candidates = heard.length > 0 ? heard : members;
 	yield {record: candidates[sequence % candidates.length], reach};
 }
-
-function groups(records: readonly VmRecord[], keyOf: (record: VmRecord) => string): Iterable<VmRecord[]> {
-	const byKey = new Map<string, VmRecord[]>();
-	for (const record of records) {
-		const members = byKey.get(keyOf(record));
-		if (members === undefined) {
-			byKey.set(keyOf(record), [record]);
-		} else {
-			members.push(record);
-		}
-	}
-
-	return byKey.values();
-}
--- a/packages/gateway/src/peers/heartbeat.ts
+++ b/packages/gateway/src/peers/heartbeat.ts
@@ -1,10 +1,10 @@
 import {type Buffer} from 'node:buffer';
 import {decode, encode} from 'cbor-x';
-import {Collection} from '@fescuewick/store';
 import {type BucketReports} from '../limits/fleet-bucket.js';
 import {type VmRecord} from '../model/records.js';
 import {type MovedParts} from '../placement/region-plan.js';
 import {type RequestedWork, type WorkBySlots} from '../placement/work-meter.js';
+import {followedCollections} from '../state/followed-collections.js';
 import {type ReplicaRevisions} from '../state/replica.js';
 import {type StoreAccess} from './store-readers.js';
 
@@ -27,8 +27,6 @@
 	readonly movedParts: MovedParts;
 };
 
-/** Collections in the order in which their revisions travel. */
-const relayed = [Collection.configurations, Collection.backends, Collection.evacuations] as const;
 const formatVersion = 3;
 const fieldCount = 11;
 /** Rates and work travel in tenths, parts in hundredths. */
@@ -40,7 +38,7 @@
 
 /** Encodes a heartbeat as one datagram; fields travel by position, because their names were most of the bytes. */
 export function encodeHeartbeat({record, incarnation, sequence, isReady, storeAccess, revisions, buckets, work, movedParts}: Heartbeat): Buffer {
-	const positions = relayed.flatMap(collection => [revisions[collection].valid, revisions[collection].changed]);
+	const positions = followedCollections.flatMap(collection => [revisions[collection].valid, revisions[collection].changed]);
 	return encode([
 		formatVersion,
 		incarnation,
@@ -82,7 +80,7 @@
 		sequence,
 		isReady,
 		storeAccess,
-		revisions: Object.fromEntries(relayed.map((collection, index) => [collection, {valid: positions[index * 2], changed: positions[(index * 2) + 1]}])),
+		revisions: Object.fromEntries(followedCollections.map((collection, index) => [collection, {valid: positions[index * 2], changed: positions[(index * 2) + 1]}])),
 		buckets: Object.fromEntries(groups(buckets, 4).map(([workspace, passed, askedPerS, tokens]) => [String(workspace), {passed: Number(passed), askedPerS: Number(askedPerS) / scale, tokens: tokens === null ? undefined : Number(tokens)}])),
 		work: {free: readWork(work), bound: readBound(bound)},
 		movedParts: readParts(moved),
--- a/packages/gateway/src/peers/peer-table.ts
+++ b/packages/gateway/src/peers/peer-table.ts
@@ -91,6 +91,11 @@
 		}
 	}
 
+	/** Number of known VMs except this one. */
+	get size(): number {
+		return this.#peers.size;
+	}
+
 	/** All known VMs except this one. */
 	* records(): Generator<VmRecord> {
 		for (const {record} of this.#peers.values()) {
--- a/packages/gateway/src/peers/store-readers.ts
+++ b/packages/gateway/src/peers/store-readers.ts
@@ -1,4 +1,5 @@
 import {hashFraction} from '@fescuewick/core';
+import {groupBy} from 'es-toolkit';
 import {type VmRecord} from '../model/records.js';
 
 /** What a VM has to do with the store. */
@@ -31,12 +32,8 @@
 
 /** The first VM of each failure domain, then the second of each, and so on, so that the loss of a domain leaves readers. */
 function inTurns(records: readonly VmRecord[]): VmRecord[] {
-	const domains = new Map<string, VmRecord[]>();
-	for (const record of records.toSorted((one, other) => order(one.vm) - order(other.vm))) {
-		domains.set(record.failureDomain, [...(domains.get(record.failureDomain) ?? []), record]);
-	}
-
-	const ranked = [...domains.values()].flatMap(members => members.map((record, turn) => ({record, turn})));
+	const domains = groupBy(records.toSorted((one, other) => order(one.vm) - order(other.vm)), ({failureDomain}) => failureDomain);
+	const ranked = Object.values(domains).flatMap(members => members.map((record, turn) => ({record, turn})));
 	return ranked.toSorted((one, other) => (one.turn - other.turn) || (order(one.record.failureDomain) - order(other.record.failureDomain))).map(({record}) => record);
 }
 
--- a/packages/gateway/src/placement/backend.test.ts
+++ b/packages/gateway/src/placement/backend.test.ts
@@ -5,7 +5,7 @@
 import {firstInOrder} from './choose-backend.js';
 
 function createBackend(id = 's1', slots = 9): Backend {
-	return new Backend({record: backendRecord(id, {slots}), seenAtMs: 0, lapsesAtMs: undefined}, 'north', {} as unknown as ConnectionSet);
+	return new Backend({record: backendRecord(id, {slots}), seenAtMs: 0}, 'north', {} as unknown as ConnectionSet);
 }
 
 test('requests of other VMs are remembered while a server is too busy to answer', t => {
--- a/packages/gateway/src/placement/placer.test.ts
+++ b/packages/gateway/src/placement/placer.test.ts
@@ -8,7 +8,7 @@
 /** A placer of a VM in region `small`, with servers of 12 slots there and 48 in `large`. */
 function createPlacer(timers: ManualTimerService): Placer {
 	const handlers = new Map<string, () => void>();
-	const backends = new Map(['small', 'large', 'large', 'large', 'large'].map((region, index) => [`s${index}`, {record: backendRecord(`s${index}`, {slots: 12, failureDomain: region}), seenAtMs: 0, lapsesAtMs: undefined}]));
+	const backends = new Map(['small', 'large', 'large', 'large', 'large'].map((region, index) => [`s${index}`, {record: backendRecord(`s${index}`, {slots: 12, failureDomain: region}), seenAtMs: 0}]));
 	const state = {
 		backends,
 		events: {
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -16,8 +16,6 @@
 export type KnownBackend = {
 	readonly record: BackendRecord;
 	readonly seenAtMs: number;
-	/** Its entry is gone; it is used only until this time. */
-	readonly lapsesAtMs: number | undefined;
 };
 
 type FleetStateOptions = {
@@ -113,7 +111,7 @@
 				}, 'backend server changed');
 			}
 
-			this.#backends.set(name, {record, seenAtMs: nowMs, lapsesAtMs: undefined});
+			this.#backends.set(name, {record, seenAtMs: nowMs});
 		}
 
 		this.#onRemoved(removed, nowMs);
@@ -134,7 +132,8 @@
 
 			const isHeld = isLapse && undrained.has(name);
 			if (isHeld) {
-				const held = {...known, lapsesAtMs: nowMs + lapseHoldMs};
+				// A copy, so that the timer leaves alone an entry that has come back meanwhile.
+				const held = {...known};
 				this.#backends.set(name, held);
 				this.options.timers.after(lapseHoldMs, () => {
 					this.#endHold(held);
