--- a/packages/shares/src/allocator/share-pool.test.ts
+++ b/packages/shares/src/allocator/share-pool.test.ts
@@ -134,7 +134,9 @@
 	t.is(pool.renew('c', demandOf(0), 4260).ratePerS, 0);
 	// A holder that is asked for takes what there is.
 	t.true(pool.renew('d', demandOf(1), 4270).ratePerS > 0);
-	const shared = settle({a: 29, b: 30, c: 0, d: 1}, 5000);
+	const shared = settle({
+		a: 29, b: 30, c: 0, d: 1,
+	}, 5000);
 	t.true(shared.c.ratePerS > 1);
 	t.true(b.ratePerS > 40);
 });
