Note an unchanged report of a peer without replacing what is known of it

Cause: each heartbeat says something of most workspaces, mostly that nothing was passed. With 72 workspaces and 59 peers that is 4,250 reports a second and VM, each computed in full and stored as a new object: 37 of 100 samples of a VM without requests were in WorkspaceLimiter.hear, and 12 in the garbage collector (one gateway in its own process, heartbeats of 59 peers, profiled for 20 s). Such a process is never as warm as a test with 60 VMs in one. Now the moment is noted in the record that is there.

Ruled out for the rest: flags of V8 (always-sparkplug, no-opt, single-threaded collector, larger young generation: 2.50 to 2.68 s against 2.58 and 2.62 s without), loading the bundle (0.33 s of which an empty program takes 0.12).

--- a/packages/gateway/src/limits/fleet-bucket.ts
+++ b/packages/gateway/src/limits/fleet-bucket.ts
@@ -80,9 +80,18 @@
 	/** Takes in that a peer passed nothing since its last report. */
 	hearUnchanged(vm: string, incarnation: number, nowMs: number): void {
 		const known = this.#peers.get(vm);
-		if (known !== undefined) {
-			const report = known.incarnation === incarnation ? known : {passed: 0, askedPerS: 0};
-			this.hear(vm, incarnation, {...report, tokens: undefined}, nowMs);
+		if (known === undefined) {
+			return;
+		}
+
+		// Each heartbeat comes here for most workspaces: with 72 workspaces and 60 VMs 4,000 times a second.
+		if (known.incarnation === incarnation) {
+			known.heardAtMs = nowMs;
+			known.assumed = 0;
+		} else {
+			this.#peers.set(vm, {
+				incarnation, passed: 0, askedPerS: 0, heardAtMs: nowMs, assumed: 0,
+			});
 		}
 	}
 
