Add the fault soak of the gateway

packages/soak runs the real gateway program as six processes with stand-ins of the platform's store and servers, draws faults from a seed (signals, relays that refuse, reset, delay, swallow all or only answers, outages and compaction of the store, replaced servers and keys, evacuations, a greedy workspace), and checks from what callers and servers saw that the promises held.

The relay of the emulator can now delay bytes in order and silence answers alone. Stand-ins that speak the platform's protocol are in platform/.

VMs now listen at a loopback address of their own run. The first generator drew almost nothing for small seeds, as its first numbers are near 1; replaced, with a test.

--- a/packages/emulator/src/tcp-relay.test.ts
+++ b/packages/emulator/src/tcp-relay.test.ts
@@ -101,3 +101,45 @@
 	await closed;
 	t.is(relay.connectionCount(), 0);
 });
+
+// Guards against late bytes that overtake each other, or that a shorter delay lets overtake earlier ones.
+test('a slow relay passes bytes on late and in order', async t => {
+	const {relay, connect} = await setUp(t);
+	const socket = await connect();
+	let text = '';
+	socket.on('data', chunk => {
+		text += String(chunk);
+	});
+	relay.setDelay(100);
+	const startedAtMs = timers.nowMs();
+	socket.write('a');
+	await timers.sleep(20);
+	socket.write('b');
+	await timers.sleep(40);
+	relay.setDelay(0);
+	socket.write('c');
+	while (text.length < 3) {
+		await timers.sleep(5);
+	}
+
+	t.is(text, 'abc');
+	t.true(timers.nowMs() - startedAtMs >= 100);
+});
+
+// Guards against a one-way cut that also keeps requests from arriving, which hides that they were acted on.
+test('a connection whose answers are silent still brings what is sent', async t => {
+	const {relay, connect, served} = await setUp(t);
+	const socket = await connect();
+	socket.on('data', () => {
+		t.fail();
+	});
+	while (served.length === 0) {
+		await timers.sleep(5);
+	}
+
+	const arrived = once(served[0], 'data');
+	relay.silenceAnswers();
+	socket.write('a');
+	t.is(String((await arrived)[0]), 'a');
+	await timers.sleep(100);
+});
--- a/packages/emulator/src/tcp-relay.ts
+++ b/packages/emulator/src/tcp-relay.ts
@@ -1,3 +1,4 @@
+import {performance} from 'node:perf_hooks';
 import {
 	createConnection, createServer, type AddressInfo, type Socket,
 } from 'node:net';
@@ -21,15 +22,22 @@
 	setMode(mode: RelayMode): void;
 	/** Drops all further bytes of the connections that are open now, for good and without closing them; new ones are not affected. */
 	silenceOpenConnections(): void;
+	/** Drops what the target sends on the connections that are open now, while what it gets still passes. */
+	silenceAnswers(): void;
 	/** Resets the connections that are open now, at both ends. */
 	resetOpenConnections(): void;
+	/** Passes bytes on after this time, in milliseconds, in order. */
+	setDelay(delayMs: number): void;
 	/** Holds the bytes of all connections back until it is called with false, as when the process at one end is paused. */
 	setHeld(isHeld: boolean): void;
 	close(): Promise<void>;
 };
 
 /** Two sockets of a relayed connection; `outer` is undefined while nothing is passed on. */
-type Pair = {readonly inner: Socket; readonly outer: Socket | undefined; isSilent: boolean};
+type Pair = {readonly inner: Socket; readonly outer: Socket | undefined; isSilent: boolean; answersAreSilent: boolean};
+
+/** When bytes are passed on. */
+type Pace = {delayMs: number};
 
 /** Starts a relay to `target` (`ip:port`) on a free loopback port. */
 export async function startTcpRelay(target: string): Promise<TcpRelay> {
@@ -38,6 +46,7 @@
 	const pairs = new Set<Pair>();
 	let mode = RelayMode.open;
 	let isHeld = false;
+	const pace: Pace = {delayMs: 0};
 	const server = createServer({allowHalfOpen: true, noDelay: true}, inner => {
 		if (mode === RelayMode.refusing) {
 			inner.resetAndDestroy();
@@ -45,9 +54,11 @@
 		}
 
 		const isSilent = mode === RelayMode.dropping;
-		const pair: Pair = {inner, outer: isSilent ? undefined : createConnection({...targetAddress, allowHalfOpen: true, noDelay: true}), isSilent};
+		const pair: Pair = {
+			inner, outer: isSilent ? undefined : createConnection({...targetAddress, allowHalfOpen: true, noDelay: true}), isSilent, answersAreSilent: false,
+		};
 		pairs.add(pair);
-		connectEnds(pair, () => pairs.delete(pair));
+		connectEnds(pair, pace, () => pairs.delete(pair));
 		if (isHeld) {
 			hold(pair);
 		}
@@ -74,7 +85,15 @@
 				pair.isSilent = true;
 			}
 		},
+		silenceAnswers() {
+			for (const pair of pairs) {
+				pair.answersAreSilent = true;
+			}
+		},
 		resetOpenConnections,
+		setDelay(delayMs) {
+			pace.delayMs = delayMs;
+		},
 		setHeld(next) {
 			isHeld = next;
 			for (const pair of pairs) {
@@ -102,7 +121,7 @@
 	outer?.pause();
 }
 
-function connectEnds(pair: Pair, onClosed: () => void): void {
+function connectEnds(pair: Pair, pace: Pace, onClosed: () => void): void {
 	const {inner, outer} = pair;
 	const closeIfDone = (): void => {
 		if (inner.destroyed && (outer === undefined || outer.destroyed)) {
@@ -110,40 +129,76 @@
 		}
 	};
 
-	passOn(pair, inner, outer, closeIfDone);
+	passOn({
+		pair, pace, from: inner, to: outer,
+	}, closeIfDone);
 	if (outer !== undefined) {
-		passOn(pair, outer, inner, closeIfDone);
+		passOn({
+			pair, pace, from: outer, to: inner,
+		}, closeIfDone);
 	}
 }
 
 /** Passes bytes, end and reset of one end on to the other, unless the connection is silent. */
-function passOn(pair: Pair, from: Socket, to: Socket | undefined, onClose: () => void): void {
+function passOn({pair, pace, from, to}: {readonly pair: Pair; readonly pace: Pace; readonly from: Socket; readonly to: Socket | undefined}, onClose: () => void): void {
 	let hasFailed = false;
-	from.on('data', chunk => {
-		if (!pair.isSilent && to !== undefined && !to.destroyed && !to.write(chunk)) {
-			from.pause();
-			to.once('drain', () => {
-				from.resume();
-			});
+	const late: Array<{readonly atMs: number; readonly action: () => void}> = [];
+	const isSilent = (): boolean => pair.isSilent || (from === pair.outer && pair.answersAreSilent);
+	const runDue = (): void => {
+		const nowMs = performance.now();
+		while (late.length > 0 && late[0].atMs <= nowMs) {
+			late.shift()!.action();
+		}
+
+		if (late.length > 0) {
+			setTimeout(runDue, late[0].atMs - nowMs);
+		}
+	};
+
+	/** Runs an action after the delay and after the ones before it. */
+	const inOrder = (action: () => void): void => {
+		if (late.length === 0 && pace.delayMs === 0) {
+			action();
+			return;
+		}
+
+		late.push({atMs: performance.now() + pace.delayMs, action});
+		if (late.length === 1) {
+			setTimeout(runDue, pace.delayMs);
 		}
+	};
+
+	from.on('data', chunk => {
+		inOrder(() => {
+			if (!isSilent() && to !== undefined && !to.destroyed && !to.write(chunk)) {
+				from.pause();
+				to.once('drain', () => {
+					from.resume();
+				});
+			}
+		});
 	});
 	from.on('end', () => {
-		if (pair.isSilent) {
+		if (isSilent()) {
 			// The end that closed is gone; the other one never hears of it.
 			from.destroy();
 		} else {
-			to?.end();
+			inOrder(() => {
+				to?.end();
+			});
 		}
 	});
 	from.on('error', () => {
 		hasFailed = true;
 	});
 	from.on('close', () => {
-		if (!pair.isSilent && to !== undefined && !to.destroyed) {
+		if (!isSilent() && to !== undefined && !to.destroyed) {
 			if (hasFailed) {
 				to.resetAndDestroy();
 			} else {
-				to.destroySoon();
+				inOrder(() => {
+					to.destroySoon();
+				});
 			}
 		}
 
--- /dev/null
+++ b/packages/soak/src/backends.ts
@@ -0,0 +1,86 @@
+import {type TimerService} from '@fescuewick/core';
+import {startTcpRelay, type TcpRelay} from '@fescuewick/emulator';
+import {
+	ServerStandIn, serverObject, StoreKind, type ServerRun, type StoreStandIn,
+} from '@fescuewick/platform/stand-ins';
+
+const slots = 8;
+/** Working time of a request, in milliseconds. */
+const workMs = 40;
+/** Time from the entry that says that a server leaves to its end, in milliseconds; longer than VMs may still send to it. */
+const leaveMs = 5000;
+
+type Running = {id: string; readonly failureDomain: string; standIn: ServerStandIn; relay: TcpRelay; isLeaving: boolean};
+
+/** Backend servers with a relay in front of each. */
+export class Backends {
+	readonly runs: ServerRun[] = [];
+	readonly arrivals: ServerRun[] = [];
+	readonly leavingAtMs = new Map<string, number>();
+	readonly domainOf = new Map<string, string>();
+	readonly #running: Running[] = [];
+	#count = 0;
+
+	constructor(private readonly options: {readonly timers: TimerService; readonly store: StoreStandIn; readonly service: string}) {}
+
+	/** Starts a server and writes its entry. */
+	async add(failureDomain: string): Promise<void> {
+		this.#running.push(await this.#start(failureDomain));
+	}
+
+	/** The relay of a server. */
+	relayOf(target: number): TcpRelay {
+		return this.#running[target % this.#running.length].relay;
+	}
+
+	/** Lets a server leave as planned and starts another one in its place; no effect while it leaves already. */
+	async replace(target: number): Promise<void> {
+		const {timers, store} = this.options;
+		const old = this.#running[target % this.#running.length];
+		if (old.isLeaving) {
+			return;
+		}
+
+		old.isLeaving = true;
+		this.#write(old, true);
+		this.leavingAtMs.set(old.id, timers.nowMs());
+		const next = await this.#start(old.failureDomain);
+		await timers.sleep(leaveMs);
+		store.remove(StoreKind.servers, old.id);
+		this.#running.splice(this.#running.indexOf(old), 1, next);
+		old.standIn.close();
+		await old.relay.close();
+	}
+
+	async end(): Promise<void> {
+		for (const {standIn, relay} of this.#running) {
+			standIn.close();
+			await relay.close();
+		}
+	}
+
+	async #start(failureDomain: string): Promise<Running> {
+		const id = `server-${++this.#count}`;
+		const standIn = new ServerStandIn({
+			id, slots, workMs, nowMs: () => this.options.timers.nowMs(), onArrival: run => {
+				this.arrivals.push(run);
+			}, onRun: run => {
+				this.runs.push(run);
+			},
+		});
+		const relay = await startTcpRelay(await standIn.listen());
+		this.domainOf.set(id, failureDomain);
+		const running = {
+			id, failureDomain, standIn, relay, isLeaving: false,
+		};
+		this.#write(running, false);
+		return running;
+	}
+
+	#write({id, failureDomain, relay}: Running, isDraining: boolean): void {
+		const {store, service} = this.options;
+		store.set(StoreKind.servers, id, serverObject({
+			service, address: relay.address, failureDomain, slots, isDraining,
+		}));
+	}
+}
--- /dev/null
+++ b/packages/soak/src/soak.ts
@@ -0,0 +1,335 @@
+import {mkdirSync} from 'node:fs';
+import process from 'node:process';
+import {SystemTimerService, type TimerService} from '@fescuewick/core';
+import {startTcpRelay, type TcpRelay} from '@fescuewick/emulator';
+import {StoreStandIn} from '@fescuewick/platform/stand-ins';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {mersenne} from 'pure-rand/generator/mersenne';
+import {Backends} from './backends.js';
+import {Callers, timeLeftMs} from './callers.js';
+import {
+	host, limits, Operator, service,
+} from './operator.js';
+import {type Observations, type SeenRequest} from './observations.js';
+import {PathFault, PathFaults} from './path-faults.js';
+import {brokenPromises, type Broken} from './promises.js';
+import {drawSchedule, FaultKind, type PlannedFault} from './schedule.js';
+import {VmProcess} from './vm-process.js';
+
+/** Failure domains in two regions. */
+const regions: Readonly<Record<string, string>> = {'north-1': 'north', 'north-2': 'north', 'south-1': 'south'};
+const domains = Object.keys(regions);
+const vmsPerDomain = 2;
+const serversPerDomain = 2;
+/** Listening addresses of a VM, and the port of the first one. */
+const addressesPerVm = 6;
+const firstPort = 20_000;
+/** Longest time for all VMs to be ready, in milliseconds: the start of six processes on a machine that runs other tests. */
+const startMs = 30_000;
+/** Calm time before the faults, in milliseconds. */
+const warmUpMs = 2000;
+/** Time after the last fault in which the system recovers, in milliseconds; the platform's pages allow 15 s. */
+const recoverMs = 15_000;
+/** Calm time in which callers must be served, in milliseconds. */
+const calmMs = 4000;
+/** Part of the requests in that time that must be served. */
+const servedPart = 0.95;
+/** How often the lateness of timers is measured, in milliseconds. */
+const lagCheckMs = 50;
+/** Callers of each workspace, and the mean pause between two requests of one, in milliseconds. */
+const callersPerWorkspace = 6;
+const callerPauseMs = 100;
+/** Further callers of a workspace while it asks for more than its rate. */
+const greedyCallers = 20;
+const greedyPauseMs = 60;
+
+/** How to run the soak. */
+export type SoakOptions = {
+	readonly seed: number;
+	/** Length of the faults, in milliseconds. */
+	readonly lengthMs: number;
+	/** Directory for settings and logs. */
+	readonly directory: string;
+};
+
+/** The result of a run. */
+export type SoakReport = {
+	readonly seed: number;
+	readonly faults: number;
+	readonly requests: number;
+	readonly served: number;
+	readonly runs: number;
+	readonly ownLagMs: number;
+	readonly broken: readonly Broken[];
+};
+
+/** One run: real programs, faults from outside, and what callers and servers saw. */
+class Soak {
+	readonly #timers: TimerService = new SystemTimerService();
+	readonly #store = new StoreStandIn();
+	readonly #backends = new Backends({timers: this.#timers, store: this.#store, service});
+	readonly #random: () => number;
+	readonly #operator: Operator;
+	readonly #vms: VmProcess[] = [];
+	readonly #storeRelays: TcpRelay[] = [];
+	readonly #paths = new Map<TcpRelay, PathFaults>();
+	readonly #callers: Callers;
+	#ownLagMs = 0;
+	#storeDowns = 0;
+
+	constructor(private readonly options: SoakOptions) {
+		const generator = mersenne(options.seed);
+		this.#random = () => uniformFloat64(generator);
+		this.#operator = new Operator({timers: this.#timers, store: this.#store, random: this.#random});
+		const vms = this.#vms;
+		this.#callers = new Callers({
+			timers: this.#timers,
+			get targets() {
+				return vms.map(vm => ({name: vm.name, address: vm.place.addresses[0]}));
+			},
+			host,
+			keyOf: workspace => this.#operator.keyOf(workspace),
+			random: this.#random,
+		});
+	}
+
+	async run(): Promise<SoakReport> {
+		const schedule = drawSchedule(this.options.seed, this.options.lengthMs);
+		await this.#start();
+		const stopLagCheck = this.#measureLag();
+		for (const {workspace} of limits) {
+			this.#callers.add(workspace, callersPerWorkspace, callerPauseMs);
+		}
+
+		await this.#timers.sleep(warmUpMs);
+		await this.#play(schedule);
+		const broken = await this.#checkRecovery();
+		await this.#callers.end();
+		stopLagCheck();
+		await Promise.all(this.#vms.map(async vm => vm.end()));
+		await this.#backends.end();
+		await Promise.all(this.#storeRelays.map(async relay => relay.close()));
+		this.#store.close();
+		return this.#report(schedule, broken);
+	}
+
+	async #start(): Promise<void> {
+		mkdirSync(this.options.directory, {recursive: true});
+		const storeAddress = await this.#store.listen();
+		this.#operator.publish();
+		for (const failureDomain of domains) {
+			for (let index = 0; index < serversPerDomain; index++) {
+				await this.#backends.add(failureDomain);
+			}
+		}
+
+		const places = domains.flatMap(failureDomain => Array.from({length: vmsPerDomain}, (_, index) => ({failureDomain, vm: `${failureDomain}-${index + 1}`})));
+		const addressesOf = (vm: number) => Array.from({length: addressesPerVm}, (_, index) => `${loopbackAddress()}:${firstPort + (vm * addressesPerVm) + index}`);
+		for (const [index, {failureDomain, vm}] of places.entries()) {
+			const relay = await startTcpRelay(storeAddress);
+			this.#storeRelays.push(relay);
+			this.#vms.push(new VmProcess({
+				vm, failureDomain, region: regions[failureDomain], regions, addresses: addressesOf(index), seeds: [0, 2, 4].map(seed => addressesOf(seed)[3]), storeAddress: relay.address, directory: this.options.directory,
+			}, this.#timers));
+		}
+
+		for (const vm of this.#vms) {
+			vm.start();
+		}
+
+		await this.#untilReady(startMs);
+	}
+
+	/** Waits until all VMs are ready; returns those that were not in time. */
+	async #untilReady(withinMs: number): Promise<string[]> {
+		const endsAtMs = this.#timers.nowMs() + withinMs;
+		for (;;) {
+			const states = await Promise.all(this.#vms.map(async vm => ({name: vm.name, isReady: await vm.isReady()})));
+			const missing = states.filter(({isReady}) => !isReady).map(({name}) => name);
+			if (missing.length === 0 || this.#timers.nowMs() > endsAtMs) {
+				return missing;
+			}
+
+			await this.#timers.sleep(100);
+		}
+	}
+
+	async #play(schedule: readonly PlannedFault[]): Promise<void> {
+		const startedAtMs = this.#timers.nowMs();
+		await Promise.all(schedule.map(async fault => {
+			await this.#timers.sleep(Math.max(0, startedAtMs + fault.atMs - this.#timers.nowMs()));
+			await this.#apply(fault);
+		}));
+	}
+
+	async #apply({kind, durationMs, target}: PlannedFault): Promise<void> {
+		const vm = this.#vms[target % this.#vms.length];
+		switch (kind) {
+			case FaultKind.vmKilled: {
+				return vm.kill(durationMs);
+			}
+
+			case FaultKind.vmStopped: {
+				return vm.stop(durationMs);
+			}
+
+			case FaultKind.vmPaused: {
+				return vm.pause(durationMs);
+			}
+
+			case FaultKind.storeRefuses: {
+				return this.#disturbStore(target, PathFault.refusing, durationMs);
+			}
+
+			case FaultKind.storeSilent: {
+				return this.#disturbStore(target, PathFault.silent, durationMs);
+			}
+
+			case FaultKind.storeAnswersSilent: {
+				return this.#disturbStore(target, PathFault.answersSilent, durationMs);
+			}
+
+			case FaultKind.storeSlow: {
+				return this.#disturbStore(target, PathFault.slow, durationMs);
+			}
+
+			case FaultKind.storeDown: {
+				return this.#storeDown(durationMs);
+			}
+
+			case FaultKind.storeCompacted: {
+				this.#store.compact();
+				return;
+			}
+
+			case FaultKind.serverReset: {
+				return this.#disturbPath(this.#backends.relayOf(target), PathFault.reset, durationMs);
+			}
+
+			case FaultKind.serverSilent: {
+				return this.#disturbPath(this.#backends.relayOf(target), PathFault.silent, durationMs);
+			}
+
+			case FaultKind.serverSlow: {
+				return this.#disturbPath(this.#backends.relayOf(target), PathFault.slow, durationMs);
+			}
+
+			case FaultKind.serverRefuses: {
+				return this.#disturbPath(this.#backends.relayOf(target), PathFault.refusing, durationMs);
+			}
+
+			case FaultKind.serverReplaced: {
+				return this.#backends.replace(target);
+			}
+
+			case FaultKind.keyReplaced: {
+				this.#operator.replaceKey(target);
+				return;
+			}
+
+			case FaultKind.domainEvacuated: {
+				return this.#operator.evacuate(domains[target % domains.length], durationMs);
+			}
+
+			case FaultKind.workspaceGreedy: {
+				this.#callers.add(limits[0].workspace, greedyCallers, greedyPauseMs, this.#timers.nowMs() + durationMs);
+			}
+		}
+	}
+
+	async #disturbStore(target: number, fault: PathFault, durationMs: number): Promise<void> {
+		const index = target % this.#vms.length;
+		const fromMs = this.#timers.nowMs();
+		await this.#disturbPath(this.#storeRelays[index], fault, durationMs);
+		this.#vms[index].disturbed.push({fromMs, untilMs: this.#timers.nowMs()});
+	}
+
+	async #disturbPath(relay: TcpRelay, fault: PathFault, durationMs: number): Promise<void> {
+		const faults = this.#paths.get(relay) ?? new PathFaults(relay);
+		this.#paths.set(relay, faults);
+		faults.begin(fault);
+		await this.#timers.sleep(durationMs);
+		faults.end(fault);
+	}
+
+	async #storeDown(durationMs: number): Promise<void> {
+		const fromMs = this.#timers.nowMs();
+		this.#storeDowns++;
+		this.#store.faults.isDown = true;
+		await this.#timers.sleep(durationMs);
+		this.#storeDowns--;
+		this.#store.faults.isDown = this.#storeDowns > 0;
+		for (const vm of this.#vms) {
+			vm.disturbed.push({fromMs, untilMs: this.#timers.nowMs()});
+		}
+	}
+
+	/** Whether all VMs are ready and callers are served again after the last fault. */
+	async #checkRecovery(): Promise<Broken[]> {
+		const atMs = this.#timers.nowMs();
+		const missing = await this.#untilReady(recoverMs);
+		// Servers that were silent or slow are tried again, and keys that were withdrawn are used no more.
+		await this.#timers.sleep(Math.max(0, atMs + recoverMs - this.#timers.nowMs()));
+		const calmFromMs = this.#timers.nowMs();
+		await this.#timers.sleep(calmMs + timeLeftMs);
+		const calm = this.#callers.seen.filter(({sentAtMs, workspace}) => workspace !== limits[0].workspace && sentAtMs >= calmFromMs && sentAtMs < calmFromMs + calmMs);
+		const served = calm.filter(request => isServed(request)).length;
+		const broken: Broken[] = missing.map(vm => ({promise: 'recovery', atMs, text: `${vm} is not ready ${recoverMs} ms after the last fault`}));
+		if (served < calm.length * servedPart || calm.length === 0) {
+			broken.push({promise: 'recovery', atMs: calmFromMs, text: `${served} of ${calm.length} requests are served ${recoverMs} ms after the last fault`});
+		}
+
+		return broken;
+	}
+
+	#measureLag(): () => void {
+		let lastMs = this.#timers.nowMs();
+		return this.#timers.repeat(lagCheckMs, () => {
+			const nowMs = this.#timers.nowMs();
+			this.#ownLagMs = Math.max(this.#ownLagMs, nowMs - lastMs - lagCheckMs);
+			lastMs = nowMs;
+		});
+	}
+
+	#report(schedule: readonly PlannedFault[], broken: readonly Broken[]): SoakReport {
+		const {seen} = this.#callers;
+		const observations: Observations = {
+			requests: seen,
+			runs: this.#backends.runs,
+			arrivals: this.#backends.arrivals,
+			disturbed: new Map(this.#vms.map(vm => [vm.name, vm.disturbed])),
+			halted: new Map(this.#vms.map(vm => [vm.name, vm.halted])),
+			withdrawnAtMs: this.#operator.withdrawnAtMs,
+			leavingAtMs: this.#backends.leavingAtMs,
+			evacuations: this.#operator.evacuations,
+			domainOf: this.#backends.domainOf,
+			limits,
+			ownLagMs: this.#ownLagMs,
+		};
+		const processes: Broken[] = this.#vms.flatMap(vm => vm.problems.map(text => ({promise: 'process', atMs: 0, text})));
+		return {
+			seed: this.options.seed,
+			faults: schedule.length,
+			requests: seen.length,
+			served: seen.filter(request => isServed(request)).length,
+			runs: this.#backends.runs.length,
+			ownLagMs: Math.round(this.#ownLagMs),
+			broken: [...processes, ...broken, ...brokenPromises(observations)],
+		};
+	}
+}
+
+/** A loopback address of this process alone: ports of 127.0.0.1 that were free may be taken by another test or connection before a VM listens there. */
+function loopbackAddress(): string {
+	const {pid} = process;
+	return `127.${1 + (Math.floor(pid / 65_536) % 100)}.${Math.floor(pid / 256) % 256}.${pid % 256}`;
+}
+
+function isServed({status}: SeenRequest): boolean {
+	return status === 200;
+}
+
+/** Runs the soak once. */
+export async function runSoak(options: SoakOptions): Promise<SoakReport> {
+	return new Soak(options).run();
+}
--- /dev/null
+++ b/packages/soak/src/vm-process.ts
@@ -0,0 +1,168 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {closeSync, openSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {type TimerService} from '@fescuewick/core';
+import {readinessPath} from '@fescuewick/platform/stand-ins';
+import {stringify} from 'yaml';
+import {type Span} from './observations.js';
+import {bounds} from './promises.js';
+
+const program = fileURLToPath(new URL('../../../platform/dist/main.js', import.meta.url));
+
+/** Where a VM of the soak stands and listens. */
+export type VmPlace = {
+	readonly vm: string;
+	readonly failureDomain: string;
+	readonly region: string;
+	readonly regions: Readonly<Record<string, string>>;
+	/** Entry, readiness, directory, peer, heartbeat and metrics addresses. */
+	readonly addresses: readonly string[];
+	readonly seeds: readonly string[];
+	readonly storeAddress: string;
+	/** Directory for settings and logs. */
+	readonly directory: string;
+};
+
+/** The real gateway program as a process of its own. */
+export class VmProcess {
+	readonly disturbed: Span[] = [];
+	readonly halted: Span[] = [];
+	/** Exits that nobody asked for, and stops that went wrong. */
+	readonly problems: string[] = [];
+	#child: ChildProcess | undefined;
+	#isEnding = false;
+
+	constructor(readonly place: VmPlace, private readonly timers: TimerService) {
+		const {vm, failureDomain, region, regions, addresses, seeds, storeAddress} = place;
+		const [entry, readiness, directory, peers, heartbeats, metrics] = addresses;
+		writeFileSync(this.#settingsFile, stringify({
+			location: {vm, failureDomain, region},
+			regions,
+			listen: {
+				entry, readiness, directory, peers, heartbeats, metrics,
+			},
+			seeds: [...seeds],
+			store: {address: storeAddress},
+			bounds: {
+				graceMs: bounds.graceMs, maxDirectoryTtlMs: 5000, retryRatio: 0.2, retrySlack: 50, retryWindowMs: 10_000, coldOvershoot: 1.5, coldSlack: 5, rateOvershoot: bounds.rateOvershoot, rateSlack: bounds.rateSlackCount, rateWindowMs: bounds.rateWindowMs, shiftMost: 0.15,
+			},
+		}));
+	}
+
+	get name(): string {
+		return this.place.vm;
+	}
+
+	/** Whether the process runs and was not told to end. */
+	get isUp(): boolean {
+		return this.#child !== undefined && !this.#isEnding;
+	}
+
+	start(): void {
+		const log = openSync(path.join(this.place.directory, `${this.name}.log`), 'a');
+		// eslint-disable-next-line @typescript-eslint/naming-convention
+		const environment = {...process.env, FESCUEWICK_LOG: 'info'};
+		const child = spawn(process.execPath, [program, '--settings', this.#settingsFile], {stdio: ['ignore', log, log], env: environment});
+		closeSync(log);
+		this.#child = child;
+		this.#isEnding = false;
+		child.once('exit', (code, signal) => {
+			if (!this.#isEnding) {
+				this.problems.push(`${this.name} ended by itself with ${signal ?? code}`);
+			}
+
+			if (this.#child === child) {
+				this.#child = undefined;
+			}
+		});
+	}
+
+	/** Kills the process and starts it again after a while. */
+	async kill(downMs: number): Promise<void> {
+		await this.#down(downMs, async child => {
+			child.kill('SIGKILL');
+			await once(child, 'exit');
+		});
+	}
+
+	/** Stops the process as planned and starts it again after a while. */
+	async stop(downMs: number): Promise<void> {
+		await this.#down(downMs, async child => this.#stopGracefully(child), true);
+	}
+
+	/** Pauses the process. */
+	async pause(forMs: number): Promise<void> {
+		const child = this.#child;
+		if (child === undefined || this.#isEnding) {
+			return;
+		}
+
+		const fromMs = this.timers.nowMs();
+		child.kill('SIGSTOP');
+		await this.timers.sleep(forMs);
+		child.kill('SIGCONT');
+		const span = {fromMs, untilMs: this.timers.nowMs()};
+		this.halted.push(span);
+		this.disturbed.push(span);
+	}
+
+	/** Whether the VM says that it is ready. */
+	async isReady(): Promise<boolean> {
+		try {
+			const {status} = await fetch(`http://${this.place.addresses[1]}${readinessPath}`, {signal: AbortSignal.timeout(1000)});
+			return status === 200;
+		} catch {
+			// Nothing listens there yet.
+			return false;
+		}
+	}
+
+	/** Ends the process at the end of a run. */
+	async end(): Promise<void> {
+		const child = this.#child;
+		if (child !== undefined) {
+			this.#isEnding = true;
+			child.kill('SIGCONT');
+			await this.#stopGracefully(child);
+		}
+	}
+
+	get #settingsFile(): string {
+		return path.join(this.place.directory, `${this.place.vm}.yaml`);
+	}
+
+	async #down(downMs: number, end: (child: ChildProcess) => Promise<void>, isGraceful = false): Promise<void> {
+		const child = this.#child;
+		if (child === undefined || this.#isEnding) {
+			return;
+		}
+
+		this.#isEnding = true;
+		const fromMs = this.timers.nowMs();
+		await end(child);
+		const endedAtMs = this.timers.nowMs();
+		await this.timers.sleep(downMs);
+		this.start();
+		for (let isReady = false; !isReady && this.isUp; isReady = await this.isReady()) {
+			await this.timers.sleep(50);
+		}
+
+		const untilMs = this.timers.nowMs();
+		this.disturbed.push({fromMs, untilMs});
+		this.halted.push({fromMs: isGraceful ? endedAtMs : fromMs, untilMs});
+	}
+
+	async #stopGracefully(child: ChildProcess): Promise<void> {
+		const fromMs = this.timers.nowMs();
+		const exited = once(child, 'exit') as Promise<[number | null, string | null]>;
+		child.kill('SIGTERM');
+		const [code, signal] = await exited;
+		const tookMs = this.timers.nowMs() - fromMs;
+		if (code !== 0 || tookMs > bounds.graceMs) {
+			this.problems.push(`${this.name} ended with ${signal ?? code} ${Math.round(tookMs)} ms after SIGTERM`);
+		}
+	}
+}
--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -11,7 +11,7 @@
 
 // Tests of whole deployments run on the system clock, and tests with controlled time use a core fully; when they
 // shared the machine, heartbeats were late and VMs judged each other dead.
-const realTimeFiles = ['packages/local/dist/**/*.test.js', 'packages/bench/dist/processes/*.test.js'];
+const realTimeFiles = ['packages/local/dist/**/*.test.js', 'packages/bench/dist/processes/*.test.js', 'packages/soak/dist/soak.test.js'];
 const groups = process.argv.length > 2
 	? [process.argv.slice(2)]
 	: [
