--- a/packages/emulator/src/tcp-relay.test.ts
+++ b/packages/emulator/src/tcp-relay.test.ts
@@ -140,7 +140,7 @@
 	const arrived = once(served[0], 'data');
 	relay.silenceAnswers();
 	socket.write('a');
-	const [chunk] = await arrived;
+	const [chunk] = await arrived as [Uint8Array];
 	t.is(String(chunk), 'a');
 	await timers.sleep(100);
 });
