Count the hold of a server from its removal, also when it came through a peer

Cause: the store turned front-oromia-b-1 away, so it took the removal over from a peer 0.71 s after the others had it (its watch gets 250 ms, readers of the region 600 ms, and a heartbeat comes every 500 ms). After an outage a removed server stays in use for 1.9 s, because entries may have expired, and the VM counted from the moment it learned: 26.39 + 0.71 + 1.9 s. The others, with watches of their own, let go at 28.29 to 28.35 s. Ruled out: the timer of the hold (it ended on time), the repeat of a request (sent once), a server that drains (its entry went without that state).

Copies between peers now say how long ago each removal was, added up over the VMs on the way, and the hold is shortened by it. A removal found by comparing whole copies still has no age. The new test kept the server with the old code.

--- a/packages/gateway/src/state/fleet-state.test.ts
+++ b/packages/gateway/src/state/fleet-state.test.ts
@@ -82,3 +82,26 @@
 	await settle();
 	t.deepEqual([...state.backends.keys()], ['b']);
 });
+
+test('a server is not kept longer by a VM that learned of its removal later through peers', async t => {
+	// Guards against a VM whose own watch was refused and which used a server 2,569 ms after it had left: it counted the 1.9 s from the copy of a peer.
+	const states = Array.from({length: 3}, () => createState(true));
+	const replicas = states.map(({state}) => state.replicas[Collection.backends]);
+	for (const {state} of states) {
+		await put(state, Collection.backends, 2, {name: 'a', value: backendRecord('a')});
+	}
+
+	const advance = async (ms: number) => Promise.all(states.map(async ({timers}) => timers.advance(ms)));
+	await put(states[0].state, Collection.backends, 3, {name: 'a', value: undefined});
+	for (const peer of [1, 2]) {
+		await advance(600);
+		replicas[peer].adopt(replicas[peer - 1].since(2));
+		await settle();
+		t.true(states[peer].state.backends.has('a'));
+	}
+
+	await advance(650);
+	t.true(states.every(({state}) => state.backends.has('a')));
+	await advance(50);
+	t.false(states.some(({state}) => state.backends.has('a')));
+});
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -1,9 +1,9 @@
 import Emittery from 'emittery';
 import {type Logger, type TimerService} from '@fescuewick/core';
-import {Collection, type CollectionRecord} from '@fescuewick/store';
+import {Collection} from '@fescuewick/store';
 import {ConfigurationIndex, type Configuration} from '../model/configuration.js';
 import {BackendState, type BackendRecord} from '../model/records.js';
-import {Replica, type ReplicaChange} from './replica.js';
+import {Replica, type RemovedRecord, type ReplicaChange} from './replica.js';
 
 /** Removals within this time count as one event, in milliseconds. */
 const removalWindowMs = 1500;
@@ -28,12 +28,7 @@
 /** What this VM believes about configuration, backend servers and evacuations, from its replicas. */
 export class FleetState {
 	readonly events = new Emittery<{configuration: ConfigurationIndex; backends: undefined; evacuation: {failureDomain: string; isEvacuated: boolean}}>();
-	readonly replicas: Readonly<Record<Collection, Replica>> = {
-		[Collection.configurations]: new Replica(),
-		[Collection.backends]: new Replica(),
-		[Collection.evacuations]: new Replica(),
-		[Collection.vms]: new Replica(),
-	};
+	readonly replicas: Readonly<Record<Collection, Replica>>;
 
 	#configuration: ConfigurationIndex | undefined;
 	readonly #backends = new Map<string, KnownBackend>();
@@ -41,6 +36,13 @@
 	#removedAtMs: number[] = [];
 
 	constructor(private readonly options: FleetStateOptions) {
+		const createReplica = () => new Replica(() => options.timers.nowMs());
+		this.replicas = {
+			[Collection.configurations]: createReplica(),
+			[Collection.backends]: createReplica(),
+			[Collection.evacuations]: createReplica(),
+			[Collection.vms]: createReplica(),
+		};
 		this.replicas[Collection.configurations].events.on('change', change => {
 			this.#onConfigurations(change);
 		});
@@ -118,24 +120,26 @@
 		void this.events.emit('backends');
 	}
 
-	#onRemoved(removed: readonly CollectionRecord[], nowMs: number): void {
+	#onRemoved(removed: readonly RemovedRecord[], nowMs: number): void {
 		this.#removedAtMs = this.#removedAtMs.filter(atMs => atMs > nowMs - removalWindowMs);
 		// The change to draining may have come in the same batch as the removal.
 		const undrained = new Set(removed.filter(({name, value}) => ((value as BackendRecord | undefined) ?? this.#backends.get(name)?.record)?.state === BackendState.ready).map(({name}) => name));
 		this.#removedAtMs.push(...[...undrained].map(() => nowMs));
 		const isLapse = this.options.mayHaveLapsed() || this.#removedAtMs.length >= lapseCount;
-		for (const {name} of removed) {
+		for (const {name, ageMs} of removed) {
 			const known = this.#backends.get(name);
 			if (known === undefined) {
 				continue;
 			}
 
-			const isHeld = isLapse && undrained.has(name);
+			// A change may have come through a peer; the time counts from the removal and not from when this VM learned of it.
+			const holdMs = lapseHoldMs - ageMs;
+			const isHeld = isLapse && undrained.has(name) && holdMs > 0;
 			if (isHeld) {
 				// A copy, so that the timer leaves alone an entry that has come back meanwhile.
 				const held = {...known};
 				this.#backends.set(name, held);
-				this.options.timers.after(lapseHoldMs, () => {
+				this.options.timers.after(holdMs, () => {
 					this.#endHold(held);
 				});
 			} else {
@@ -143,7 +147,7 @@
 			}
 
 			this.options.logger.info({
-				event: 'backend-removed', server: name, service: known.record.service, isHeld,
+				event: 'backend-removed', server: name, service: known.record.service, isHeld, ageMs: Math.round(ageMs),
 			}, 'entry of a backend server was removed');
 		}
 	}
--- a/packages/gateway/src/state/replica.ts
+++ b/packages/gateway/src/state/replica.ts
@@ -1,6 +1,7 @@
+import {performance} from 'node:perf_hooks';
 import Emittery from 'emittery';
 import {
-	type ChangeBatch, type CollectionRecord, type Listing, type RecordChange,
+	type CollectionRecord, type Listing, type RecordChange,
 } from '@fescuewick/store';
 
 /** Batches of changes that a copy keeps for peers; a peer that lacks more takes the whole copy. Restarted VMs excepted, peers lag by less than a second of changes. */
@@ -17,11 +18,19 @@
 /** A whole copy, as sent to a peer. */
 export type ReplicaImage = ReplicaRevisions & {readonly records: readonly CollectionRecord[]};
 
+/** A change, and for a removal the time since the first VM on its way learned of it, in milliseconds. */
+export type AgedChange = RecordChange & {readonly ageMs?: number};
+
 /** The changes that a peer's copy lacks. */
-export type ReplicaDelta = ReplicaRevisions & {readonly changes: readonly RecordChange[]};
+export type ReplicaDelta = ReplicaRevisions & {readonly changes: readonly AgedChange[]};
+
+/** A record that was removed, the given time ago. */
+export type RemovedRecord = CollectionRecord & {readonly ageMs: number};
 
 /** What a change did to a copy. */
-export type ReplicaChange = {readonly changed: readonly CollectionRecord[]; readonly removed: readonly CollectionRecord[]};
+export type ReplicaChange = {readonly changed: readonly CollectionRecord[]; readonly removed: readonly RemovedRecord[]};
+
+type KeptBatch = {readonly changes: ReadonlyArray<RecordChange & {readonly atMs: number}>; readonly revision: number};
 
 /** A VM's copy of a collection; it only moves to higher revisions. */
 export class Replica {
@@ -32,10 +41,13 @@
 	/** Whether `#changed` covers removals; a first listing shows only the last change of the records that are left. */
 	#knowsLastChange = false;
 	/** The last batches, in order; `revision` is that of the copy after the batch. */
-	readonly #batches: ChangeBatch[] = [];
+	readonly #batches: KeptBatch[] = [];
 	/** Revision from which `#batches` holds all changes. */
 	#batchesSince = -1;
 
+	/** `nowMs` is a monotonic clock in milliseconds. */
+	constructor(private readonly nowMs: () => number = () => performance.now()) {}
+
 	get revisions(): ReplicaRevisions {
 		return {valid: this.#valid, changed: this.#changed};
 	}
@@ -59,7 +71,9 @@
 			return {...this.revisions, records: [...this.#records.values()]};
 		}
 
-		return {...this.revisions, changes: this.#batches.filter(batch => batch.revision > revision).flatMap(({changes}) => changes)};
+		const nowMs = this.nowMs();
+		const lacking = this.#batches.filter(batch => batch.revision > revision).flatMap(({changes}) => changes);
+		return {...this.revisions, changes: lacking.map(({record, isRemoved, atMs}) => isRemoved ? {record, isRemoved, ageMs: nowMs - atMs} : {record, isRemoved})};
 	}
 
 	/** Whether a peer's copy has changes that this one lacks. */
@@ -95,15 +109,15 @@
 	}
 
 	/** Applies changes that follow the copy's revision. */
-	applyChanges({changes, revision}: ChangeBatch): void {
+	applyChanges({changes, revision}: {readonly changes: readonly AgedChange[]; readonly revision: number}): void {
 		const changed: CollectionRecord[] = [];
-		const removed: CollectionRecord[] = [];
-		for (const {record, isRemoved} of changes) {
+		const removed: RemovedRecord[] = [];
+		for (const {record, isRemoved, ageMs = 0} of changes) {
 			const known = this.#records.get(record.name);
 			if (isRemoved) {
 				if (known !== undefined && known.revision <= record.revision) {
 					this.#records.delete(record.name);
-					removed.push({...known, value: record.value ?? known.value});
+					removed.push({...known, value: record.value ?? known.value, ageMs});
 				}
 			} else if (known === undefined || known.revision < record.revision) {
 				this.#records.set(record.name, record);
@@ -158,15 +172,16 @@
 		const names = new Set(records.map(record => record.name));
 		return {
 			changed: records.filter(record => this.#records.get(record.name)?.revision !== record.revision),
-			removed: [...this.#records.values()].filter(record => !names.has(record.name)),
+			removed: [...this.#records.values()].filter(record => !names.has(record.name)).map(record => ({...record, ageMs: 0})),
 		};
 	}
 
 	#keep({changed, removed}: ReplicaChange): void {
+		const nowMs = this.nowMs();
 		const changes = [
 			// A removal carries the revision by which it had happened, so that a record that came back later is not removed again.
-			...removed.map(record => ({record: {...record, revision: this.#valid}, isRemoved: true})),
-			...changed.map(record => ({record, isRemoved: false})),
+			...removed.map(({ageMs, ...record}) => ({record: {...record, revision: this.#valid}, isRemoved: true, atMs: nowMs - ageMs})),
+			...changed.map(record => ({record, isRemoved: false, atMs: nowMs})),
 		];
 		this.#batches.push({changes, revision: this.#valid});
 		if (this.#batches.length > keptBatches) {
