--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -7,13 +7,13 @@
 import {mersenne} from 'pure-rand/generator/mersenne';
 import {Backends} from './backends.js';
 import {Callers, timeLeftMs} from './callers.js';
+import {FaultPlayer} from './fault-player.js';
 import {
 	host, limits, Operator, service,
 } from './operator.js';
 import {type Observations, type SeenRequest} from './observations.js';
-import {PathFault, PathFaults} from './path-faults.js';
 import {brokenPromises, type Broken} from './promises.js';
-import {drawSchedule, FaultKind, type PlannedFault} from './schedule.js';
+import {drawSchedule, type PlannedFault} from './schedule.js';
 import {VmProcess} from './vm-process.js';
 
 /** Failure domains in two regions. */
@@ -39,9 +39,6 @@
 /** Callers of each workspace, and the mean pause between two requests of one, in milliseconds. */
 const callersPerWorkspace = 6;
 const callerPauseMs = 100;
-/** Further callers of a workspace while it asks for more than its rate. */
-const greedyCallers = 20;
-const greedyPauseMs = 60;
 
 /** How to run the soak. */
 export type SoakOptions = {
@@ -72,10 +69,8 @@
 	readonly #operator: Operator;
 	readonly #vms: VmProcess[] = [];
 	readonly #storeRelays: TcpRelay[] = [];
-	readonly #paths = new Map<TcpRelay, PathFaults>();
 	readonly #callers: Callers;
 	#ownLagMs = 0;
-	#storeDowns = 0;
 
 	constructor(private readonly options: SoakOptions) {
 		const generator = mersenne(options.seed);
@@ -102,7 +97,9 @@
 		}
 
 		await this.#timers.sleep(warmUpMs);
-		await this.#play(schedule);
+		await new FaultPlayer({
+			timers: this.#timers, store: this.#store, storeRelays: this.#storeRelays, vms: this.#vms, backends: this.#backends, operator: this.#operator, callers: this.#callers, domains,
+		}).play(schedule);
 		const broken = await this.#checkRecovery();
 		await this.#callers.end();
 		stopLagCheck();
@@ -154,116 +151,6 @@
 		}
 	}
 
-	async #play(schedule: readonly PlannedFault[]): Promise<void> {
-		const startedAtMs = this.#timers.nowMs();
-		await Promise.all(schedule.map(async fault => {
-			await this.#timers.sleep(Math.max(0, startedAtMs + fault.atMs - this.#timers.nowMs()));
-			await this.#apply(fault);
-		}));
-	}
-
-	async #apply({kind, durationMs, target}: PlannedFault): Promise<void> {
-		const vm = this.#vms[target % this.#vms.length];
-		switch (kind) {
-			case FaultKind.vmKilled: {
-				return vm.kill(durationMs);
-			}
-
-			case FaultKind.vmStopped: {
-				return vm.stop(durationMs);
-			}
-
-			case FaultKind.vmPaused: {
-				return vm.pause(durationMs);
-			}
-
-			case FaultKind.storeRefuses: {
-				return this.#disturbStore(target, PathFault.refusing, durationMs);
-			}
-
-			case FaultKind.storeSilent: {
-				return this.#disturbStore(target, PathFault.silent, durationMs);
-			}
-
-			case FaultKind.storeAnswersSilent: {
-				return this.#disturbStore(target, PathFault.answersSilent, durationMs);
-			}
-
-			case FaultKind.storeSlow: {
-				return this.#disturbStore(target, PathFault.slow, durationMs);
-			}
-
-			case FaultKind.storeDown: {
-				return this.#storeDown(durationMs);
-			}
-
-			case FaultKind.storeCompacted: {
-				this.#store.compact();
-				return;
-			}
-
-			case FaultKind.serverReset: {
-				return this.#disturbPath(this.#backends.relayOf(target), PathFault.reset, durationMs);
-			}
-
-			case FaultKind.serverSilent: {
-				return this.#disturbPath(this.#backends.relayOf(target), PathFault.silent, durationMs);
-			}
-
-			case FaultKind.serverSlow: {
-				return this.#disturbPath(this.#backends.relayOf(target), PathFault.slow, durationMs);
-			}
-
-			case FaultKind.serverRefuses: {
-				return this.#disturbPath(this.#backends.relayOf(target), PathFault.refusing, durationMs);
-			}
-
-			case FaultKind.serverReplaced: {
-				return this.#backends.replace(target);
-			}
-
-			case FaultKind.keyReplaced: {
-				this.#operator.replaceKey(target);
-				return;
-			}
-
-			case FaultKind.domainEvacuated: {
-				return this.#operator.evacuate(domains[target % domains.length], durationMs);
-			}
-
-			case FaultKind.workspaceGreedy: {
-				this.#callers.add(limits[0].workspace, greedyCallers, greedyPauseMs, this.#timers.nowMs() + durationMs);
-			}
-		}
-	}
-
-	async #disturbStore(target: number, fault: PathFault, durationMs: number): Promise<void> {
-		const index = target % this.#vms.length;
-		const fromMs = this.#timers.nowMs();
-		await this.#disturbPath(this.#storeRelays[index], fault, durationMs);
-		this.#vms[index].disturbed.push({fromMs, untilMs: this.#timers.nowMs()});
-	}
-
-	async #disturbPath(relay: TcpRelay, fault: PathFault, durationMs: number): Promise<void> {
-		const faults = this.#paths.get(relay) ?? new PathFaults(relay);
-		this.#paths.set(relay, faults);
-		faults.begin(fault);
-		await this.#timers.sleep(durationMs);
-		faults.end(fault);
-	}
-
-	async #storeDown(durationMs: number): Promise<void> {
-		const fromMs = this.#timers.nowMs();
-		this.#storeDowns++;
-		this.#store.faults.isDown = true;
-		await this.#timers.sleep(durationMs);
-		this.#storeDowns--;
-		this.#store.faults.isDown = this.#storeDowns > 0;
-		for (const vm of this.#vms) {
-			vm.disturbed.push({fromMs, untilMs: this.#timers.nowMs()});
-		}
-	}
-
 	/** Whether all VMs are ready and callers are served again after the last fault. */
 	async #checkRecovery(): Promise<Broken[]> {
 		const atMs = this.#timers.nowMs();
