Close sockets of the relay that cannot be reset any more

Cause as far as shown: a socket whose end was already sent cannot be reset (the kernel interface refuses it), and its handle stays open for good. A worker thread waits for such requests when it ends, and with no open handle left to wait on it turns without pause. Not shown: the hang itself again; two runs of the test alone had ended.

--- a/packages/emulator/src/tcp-relay.test.ts
+++ b/packages/emulator/src/tcp-relay.test.ts
@@ -2,6 +2,7 @@
 import {
 	createConnection, createServer, type AddressInfo, type Socket,
 } from 'node:net';
+import process from 'node:process';
 import test, {type ExecutionContext} from 'ava';
 import {SystemTimerService} from '@fescuewick/core';
 import {RelayMode, startTcpRelay, type TcpRelay} from './tcp-relay.js';
@@ -144,3 +145,24 @@
 	t.is(String(chunk), 'a');
 	await timers.sleep(100);
 });
+
+// Guards against handles that stay open for good after a reset of a connection whose end is on its way; a worker thread of the tests then never ended.
+test('a reset after the end of one side closes both sockets', async t => {
+	const {relay, connect, served} = await setUp(t);
+	const socket = await connect();
+	while (served.length === 0) {
+		await timers.sleep(5);
+	}
+
+	const count = () => process.getActiveResourcesInfo().filter(name => name === 'SimpleShutdownWrap').length;
+	const before = count();
+	served[0].pause();
+	relay.setHeld(true);
+	socket.end();
+	await timers.sleep(50);
+	relay.setHeld(false);
+	relay.resetOpenConnections();
+	await timers.sleep(100);
+	t.is(count(), before);
+	t.is(relay.connectionCount(), 0);
+});
--- a/packages/emulator/src/tcp-relay.ts
+++ b/packages/emulator/src/tcp-relay.ts
@@ -49,7 +49,7 @@
 	const pace: Pace = {delayMs: 0};
 	const server = createServer({allowHalfOpen: true, noDelay: true}, inner => {
 		if (mode === RelayMode.refusing) {
-			inner.resetAndDestroy();
+			reset(inner);
 			return;
 		}
 
@@ -69,8 +69,10 @@
 	});
 	const resetOpenConnections = (): void => {
 		for (const {inner, outer} of pairs) {
-			inner.resetAndDestroy();
-			outer?.resetAndDestroy();
+			reset(inner);
+			if (outer !== undefined) {
+				reset(outer);
+			}
 		}
 	};
 
@@ -116,6 +118,15 @@
 	};
 }
 
+/** Resets a socket. One whose end was already sent cannot be reset any more: its handle would stay open, and a worker thread that has such handles never ends. */
+function reset(socket: Socket): void {
+	if (socket.writableEnded) {
+		socket.destroy();
+	} else {
+		socket.resetAndDestroy();
+	}
+}
+
 function hold({inner, outer}: Pair): void {
 	inner.pause();
 	outer?.pause();
@@ -194,7 +205,7 @@
 	from.on('close', () => {
 		if (!isSilent() && to !== undefined && !to.destroyed) {
 			if (hasFailed) {
-				to.resetAndDestroy();
+				reset(to);
 			} else {
 				inOrder(() => {
 					to.destroySoon();
