--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -22,7 +22,7 @@
 	readonly error: string | undefined;
 };
 
-/** A workspace's rate and the time in which it is asked for more. */
+/** Rate and burst of a workspace. */
 export type RateLimit = {readonly workspace: string; readonly ratePerS: number; readonly burst: number};
 
 /** Everything a run of the soak saw from outside. */
