Read configuration values that this version does not know with the safest meaning

Cause: a path's kind was decoded by an enum of two values. A configuration with a path of kind upload was refused whole, so a fleet of the third deployment had no configuration and served nothing. Ruled out: tolerating unknown values in numbers that bound something, and in bounds of a path; such a configuration is still refused whole.

--- a/packages/gateway/src/model/configuration.ts
+++ b/packages/gateway/src/model/configuration.ts
@@ -59,6 +59,15 @@
 	readonly idleTimeoutMs: number;
 };
 
+/** A value of a configuration that this version does not know and reads with the safest meaning. */
+export type UnknownValue = {
+	/** The route or workspace that carries it. */
+	readonly owner: string;
+	readonly field: string;
+	/** As JSON, cut to a short length. */
+	readonly value: string;
+};
+
 /** A complete configuration; higher versions replace lower ones. */
 export type Configuration = {
 	readonly version: number;
@@ -67,6 +76,8 @@
 	/** Empty if no route needs a key. */
 	readonly workspaces: readonly Workspace[];
 	readonly limits: CallerLimits;
+	/** Absent in copies from peers that know no such list. */
+	readonly unknownValues?: readonly UnknownValue[];
 };
 
 /** Lookup tables of a configuration. */
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -12,6 +12,9 @@
 /** How long backend servers whose entries may have expired stay in use, in milliseconds. The platform restores the entries of live servers within about 2 s. In the deployments so far, a server that left may be used for 2.5 s, of which up to half a second passes until a VM learns of it. */
 const expiryHoldMs = 1900;
 
+/** Unknown values of a configuration that its log line names; the others are counted. */
+const maxReportedValues = 5;
+
 /** A backend server in use, and when this VM received its current record. */
 export type KnownBackend = {
 	readonly record: BackendRecord;
@@ -92,10 +95,19 @@
 			this.options.logger.info({
 				event: 'configuration', version: configuration.version, routes: configuration.routes.length, workspaces: configuration.workspaces.length,
 			}, 'configuration applied');
+			this.#reportUnknownValues(configuration);
 			void this.events.emit('configuration', this.#configuration);
 		}
 	}
 
+	#reportUnknownValues({version, unknownValues = []}: Configuration): void {
+		if (unknownValues.length > 0) {
+			this.options.logger.warn({
+				event: 'configuration-unknown-values', version, count: unknownValues.length, first: unknownValues.slice(0, maxReportedValues).map(({owner, field, value}) => `${owner}: ${field} ${value}`),
+			}, 'the configuration has values that this version does not know; they are read with the safest meaning');
+		}
+	}
+
 	#onBackends({changed, removed}: ReplicaChange): void {
 		const {timers, logger} = this.options;
 		const nowMs = timers.nowMs();
