--- a/packages/entry/src/backends/connections.ts
+++ b/packages/entry/src/backends/connections.ts
@@ -25,6 +25,8 @@
 export type ConnectionOptions = {
 	readonly timers: TimerService;
 	readonly connectTimeoutMs: number;
+	/** Longest head of an answer, in bytes; the default is that of the HTTP client. */
+	readonly maxHeadBytes?: number;
 	/** Returns the number of connections that may be open now. */
 	readonly limit: () => number;
 	/** Called when a connection has closed, so that another may be opened. */
@@ -125,6 +127,7 @@
 		const client: Client = new Client(this.origin, {
 			pipelining: 1,
 			keepAliveTimeout: idleTimeoutMs,
+			maxHeaderSize: this.options.maxHeadBytes,
 			// The requests enforce their own deadlines.
 			headersTimeout: 0,
 			bodyTimeout: 0,
--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -23,12 +23,16 @@
 	onFail(attempt: Attempt, error: Error): void;
 };
 
+/** Informational answers that a server may send before the final one. */
+const maxInformationalAnswers = 16;
+
 /** Sends a request once over one connection. */
 export class Attempt {
 	/** Whether the request was passed to a connected socket; it may have run from then on. */
 	written = false;
 	head: AnswerHead | undefined;
 	ended = false;
+	#informationalAnswers = 0;
 	#controller: Dispatcher.DispatchController | undefined;
 
 	constructor(readonly connection: BackendConnection, private readonly listener: AttemptListener) {}
@@ -72,11 +76,17 @@
 				this.#controller = controller;
 				this.written = true;
 			},
-			onResponseStart: (_controller, status, headers) => {
+			onResponseStart: (controller, status, headers) => {
+				if (this.ended) {
+					return;
+				}
+
 				// Informational (1xx) answers precede the final one.
-				if (!this.ended && status >= 200) {
+				if (status >= 200) {
 					this.head = {status, headers: headers as AnswerHead['headers']};
 					this.listener.onHead(this, this.head);
+				} else if (++this.#informationalAnswers > maxInformationalAnswers) {
+					controller.abort(new Error(`the server sent more than ${maxInformationalAnswers} informational answers`));
 				}
 			},
 			onResponseData: (controller, chunk) => {
--- a/packages/entry/src/request/headers.ts
+++ b/packages/entry/src/request/headers.ts
@@ -60,8 +60,18 @@
 	return key;
 }
 
+/** Throws `malformedRequest` for a header name that is followed by white space, which some versions of Node.js accept and some servers take for another header. */
+export function checkHeaderNames(rawHeaders: readonly string[]): void {
+	for (let index = 0; index < rawHeaders.length; index += 2) {
+		if (/\s/.test(rawHeaders[index])) {
+			throw new FescuewickError(ResultCode.malformedRequest, 'a header name contains white space');
+		}
+	}
+}
+
 /** Throws `malformedRequest` for a missing or repeated host header and for protocol upgrades. */
 export function checkProtocol({headers, rawHeaders, httpVersion}: Pick<IncomingMessage, 'headers' | 'rawHeaders' | 'httpVersion'>): void {
+	checkHeaderNames(rawHeaders);
 	const host = singleValue(rawHeaders, 'host', ResultCode.malformedRequest);
 	if (host === undefined && httpVersion !== '1.0') {
 		throw new FescuewickError(ResultCode.malformedRequest, 'the host header is missing');
--- a/packages/gateway/src/admission/admission.ts
+++ b/packages/gateway/src/admission/admission.ts
@@ -36,6 +36,18 @@
 	return Math.round(Math.min(maxRetryMs, Math.max(minRetryMs, timeLeftMs / 4)) * (0.75 + (random / 2)));
 }
 
+/** Fraction of a pause over which returning callers are spread. */
+const pauseSpreadFraction = 0.5;
+
+/**
+Retry delay in milliseconds for a caller refused because all servers ask for a pause, of which the first ends after `pauseMs`; `random` is in [0, 1).
+
+Handles a service whose servers all turn requests away for a while. An earlier return would be refused again, and a return of all callers at the end of the pause would bring it about once more, so they return spread over half of the pause, at least over the delay of any refused caller.
+*/
+export function pauseRetryAfterMs(pauseMs: number, random: number): number {
+	return Math.round(pauseMs + (Math.max(minRetryMs, pauseMs * pauseSpreadFraction) * random));
+}
+
 /** Inputs to the retry delay of a request refused by its workspace's rate limit. */
 export type RateRetryInput = {
 	/** Time until the next token. */
--- a/packages/gateway/src/forward/answer-check.ts
+++ b/packages/gateway/src/forward/answer-check.ts
@@ -24,6 +24,10 @@
 		return 'the answer carries the id of another request';
 	}
 
+	if (fields.id === undefined && (fields.isNotRun || fields.isMisdirected)) {
+		return 'the answer states that a request was not run, but carries no id of one';
+	}
+
 	if (notRunStatuses.has(status) && !fields.isNotRun && !fields.isMisdirected) {
 		return `the server answered ${status} without stating that it did not run the request`;
 	}
@@ -36,6 +40,6 @@
 }
 
 /** Whether the connection ended before the answer was complete. The HTTP client checks answers with a content length itself. */
-function isTruncated(end: ConnectionEnd | undefined, headers: AnswerHead['headers']): boolean {
+export function isTruncated(end: ConnectionEnd | undefined, headers: AnswerHead['headers']): boolean {
 	return end === ConnectionEnd.reset || (end === ConnectionEnd.orderly && headers['transfer-encoding'] !== undefined);
 }
--- a/packages/gateway/src/forward/answer-classification.ts
+++ b/packages/gateway/src/forward/answer-classification.ts
@@ -1,6 +1,6 @@
 import {type AdmittedRequest} from './admitted-request.js';
-import {validateAnswer} from './answer-check.js';
-import {recordAnswerFeedback, recordRejection} from './backend-feedback.js';
+import {isTruncated, validateAnswer} from './answer-check.js';
+import {recordAnswerFeedback, recordRejection, recordStatements} from './backend-feedback.js';
 import {type ForwardingContext} from './forwarding-context.js';
 import {type BackendAttempt} from './backend-attempt.js';
 
@@ -22,6 +22,11 @@
 /** Kind of an answer, and why it is not `done`; the reason is empty if it is. */
 export type AnswerClassification = {readonly kind: AnswerKind; readonly reason: string};
 
+/** Whether the connection of an attempt ended before its answer was complete, although the HTTP client reported it as complete. */
+export function isAnswerTruncated({exchange: {head, connection}}: BackendAttempt): boolean {
+	return isTruncated(connection.end, head!.headers);
+}
+
 /** Returns why the answer of an attempt must not be passed on to the caller; undefined if it may be. */
 export function validateAttemptAnswer({exchange}: BackendAttempt, {id}: AdmittedRequest, {dialect}: ForwardingContext): string | undefined {
 	const head = exchange.head!;
@@ -30,6 +35,12 @@
 	});
 }
 
+/** Records what the head of a streamed answer says of its server. */
+export function recordStreamingAnswer(attempt: BackendAttempt, {id}: AdmittedRequest, {dialect, placer}: ForwardingContext): void {
+	const {status, headers} = attempt.exchange.head!;
+	recordStatements(attempt, dialect.readAnswer(status, headers), {requestId: id, placer});
+}
+
 /** Classifies a complete answer, releases or discards its connection and updates the load, health and latency of its server. */
 export function classifyAnswer(attempt: BackendAttempt, admitted: AdmittedRequest, context: ForwardingContext, expectedMs: number): AnswerClassification {
 	const {backend, exchange, sentAtMs} = attempt;
@@ -46,6 +57,7 @@
 	const answer = context.dialect.readAnswer(status, headers);
 	backend.connections.release(exchange.connection);
 	recordAnswerFeedback(backend, answer, nowMs);
+	recordStatements(attempt, answer, {requestId: admitted.id, placer: context.placer});
 	if (answer.isNotRun || answer.isMisdirected) {
 		return {kind: AnswerKind.rejected, reason: recordRejection(backend, answer, context.placer, nowMs)};
 	}
--- a/packages/gateway/src/forward/answer-relay.ts
+++ b/packages/gateway/src/forward/answer-relay.ts
@@ -14,8 +14,10 @@
 	readonly admitted: AdmittedRequest;
 	readonly context: ForwardingContext;
 	readonly openAttempts: OpenAttempts;
-	/** Called when an answer that is too large to buffer is invalid; none of it has reached the caller. */
+	/** Called when an answer is found to be invalid before its end; only if it was streamed, some of it has reached the caller. */
 	readonly onInvalidAnswer: (attempt: BackendAttempt, reason: string) => void;
+	/** Called when the head of a large answer is about to be passed on, before the rest has arrived. */
+	readonly onStreaming: (attempt: BackendAttempt) => void;
 };
 
 /** Passes a backend server's answer on to the caller: buffers small answers and streams large ones. */
@@ -29,12 +31,17 @@
 
 	/** Receives a chunk of an answer; returns false to pause the exchange until `resume` is called on it. */
 	receive(attempt: BackendAttempt, chunk: Buffer): boolean {
+		const {maxAnswerBytes} = this.options.context;
+		attempt.sizeBytes += chunk.length;
+		if (attempt.sizeBytes > maxAnswerBytes) {
+			return this.#reject(attempt, `the answer is longer than ${maxAnswerBytes} bytes`);
+		}
+
 		if (attempt.isStreaming) {
 			return this.#forward(attempt, chunk);
 		}
 
 		attempt.chunks.push(Buffer.from(chunk));
-		attempt.sizeBytes += chunk.length;
 		return attempt.sizeBytes <= maxBufferedBytes || this.#startStreaming(attempt);
 	}
 
@@ -50,15 +57,14 @@
 
 	/** Starts streaming a large answer and cancels the other attempts. */
 	#startStreaming(attempt: BackendAttempt): boolean {
-		const {admitted, context, openAttempts, onInvalidAnswer} = this.options;
+		const {admitted, context, openAttempts, onStreaming} = this.options;
 		const problem = validateAttemptAnswer(attempt, admitted, context);
 		if (problem !== undefined) {
-			attempt.exchange.cancel();
-			onInvalidAnswer(attempt, problem);
-			return false;
+			return this.#reject(attempt, problem);
 		}
 
 		attempt.isStreaming = true;
+		onStreaming(attempt);
 		openAttempts.cancelOthers(attempt);
 		this.#writer.writeHead(attempt.exchange.head!);
 		const {chunks} = attempt;
@@ -66,6 +72,13 @@
 		return this.#forward(attempt, Buffer.concat(chunks));
 	}
 
+	/** Ends an attempt whose answer must not be passed on any further. */
+	#reject(attempt: BackendAttempt, reason: string): false {
+		attempt.exchange.cancel();
+		this.options.onInvalidAnswer(attempt, reason);
+		return false;
+	}
+
 	#forward(attempt: BackendAttempt, chunk: Buffer): boolean {
 		return this.#writer.write(chunk, () => {
 			attempt.exchange.resume();
--- a/packages/gateway/src/forward/backend-attempt.ts
+++ b/packages/gateway/src/forward/backend-attempt.ts
@@ -1,6 +1,7 @@
 import {type Buffer} from 'node:buffer';
 import {Attempt} from '@fescuewick/entry/http';
 import {type Backend} from '../placement/backend.js';
+import {type ServerStart} from '../placement/server-statements.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {type ForwardingContext} from './forwarding-context.js';
 import {outgoingHeaders} from './outgoing-headers.js';
@@ -12,6 +13,8 @@
 export type BackendAttempt = {
 	readonly exchange: Attempt;
 	readonly backend: Backend;
+	/** Start of the server to which it was sent; the server may have been restarted when the answer arrives. */
+	readonly serverStart: ServerStart;
 	readonly sentAtMs: number;
 	/** Buffered chunks of the answer; empty once it is streamed. */
 	chunks: Buffer[];
@@ -52,7 +55,7 @@
 		},
 	});
 	const attempt: BackendAttempt = {
-		exchange, backend, sentAtMs: nowMs, chunks: [], sizeBytes: 0, isStreaming: false,
+		exchange, backend, serverStart: backend.start, sentAtMs: nowMs, chunks: [], sizeBytes: 0, isStreaming: false,
 	};
 	return attempt;
 }
@@ -62,9 +65,13 @@
 	exchange.send({
 		method: request.method!,
 		path: request.url!,
-		headers: outgoingHeaders(request, fields.key, dialect, {
-			id, timeLeftMs: Math.max(1, Math.floor(timeLeftMs)), workspace: workspace?.name, server: backend.id,
-		}),
+		headers: [
+			...outgoingHeaders(request, fields.key, dialect, {
+				id, timeLeftMs: Math.max(1, Math.floor(timeLeftMs)), workspace: workspace?.name, server: backend.id,
+			}),
+			// The HTTP client derives the length of a buffered body itself.
+			...(body.stream === undefined || body.lengthBytes === undefined ? [] : ['content-length', String(body.lengthBytes)]),
+		],
 		body: body.stream ?? (body.buffered.length > 0 ? body.buffered : undefined),
 	});
 }
--- a/packages/gateway/src/forward/backend-feedback.ts
+++ b/packages/gateway/src/forward/backend-feedback.ts
@@ -1,5 +1,6 @@
 import {type Backend} from '../placement/backend.js';
-import {type Placer} from '../placement/placer.js';
+import {LeavingSource, type Placer} from '../placement/placer.js';
+import {type BackendAttempt} from './backend-attempt.js';
 import {type AnswerFields} from './header-dialect.js';
 
 /** Records the load and the remaining cold time that a server reports with an answer. */
@@ -13,6 +14,25 @@
 	}
 }
 
+/**
+Records that a server says in an answer that it is leaving or asks for a pause.
+
+Only an answer to the request itself counts: a copy of an earlier answer, or the answer of another server at the same address, says nothing about this start of the server.
+*/
+export function recordStatements({backend, serverStart}: Pick<BackendAttempt, 'backend' | 'serverStart'>, answer: AnswerFields, {requestId, placer}: {readonly requestId: string; readonly placer: Placer}): void {
+	if (answer.id !== requestId || answer.isMisdirected || (answer.server !== undefined && answer.server !== backend.id)) {
+		return;
+	}
+
+	if (answer.isLeaving) {
+		placer.markLeaving(serverStart, LeavingSource.answer);
+	}
+
+	if (answer.pauseMs !== undefined) {
+		placer.markPausing(serverStart, answer.pauseMs);
+	}
+}
+
 /** Records that a server did not run a request; returns the reason for the request's log line. */
 export function recordRejection(backend: Backend, {isMisdirected, load}: AnswerFields, placer: Placer, nowMs: number): string {
 	if (isMisdirected) {
--- a/packages/gateway/src/forward/error-answer.ts
+++ b/packages/gateway/src/forward/error-answer.ts
@@ -1,9 +1,19 @@
 import {Buffer} from 'node:buffer';
-import {type ServerResponse} from 'node:http';
-import {errorBody, resultCodeTable, type ResultCode} from '@fescuewick/core';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {
+	errorBody, resultCodeTable, type ResultCode, type TimerService,
+} from '@fescuewick/core';
+
+/** Answers whose callers were told to send the body. */
+const continued = new WeakSet<ServerResponse>();
+
+/** Longest time for which the rest of a refused request's body is read, in milliseconds. */
+const maxDrainMs = 2000;
 
 /** An error answer of the system itself. */
 export type ErrorAnswer = {
+	readonly request: IncomingMessage;
+	readonly timers: TimerService;
 	readonly response: ServerResponse;
 	readonly code: ResultCode;
 	/** Id of the request, sent in the header `idHeader`. */
@@ -11,13 +21,19 @@
 	readonly idHeader: string;
 	/** Time after which the caller should retry, in milliseconds. */
 	readonly retryMs?: number;
-	/** Whether the connection closes after the answer. */
+	/** Whether the connection closes after the request. */
 	readonly isClosing: boolean;
 	readonly message?: string;
 };
 
-/** Sends an error answer with its result code. */
-export function sendError({response, code, id, idHeader, retryMs, isClosing, message}: ErrorAnswer): void {
+/**
+Sends an error answer with its result code.
+
+Closing a connection whose data has not been read resets it, and the caller may lose the answer. Therefore the rest of the body is read and dropped first, unless the caller waits for a request to send it.
+*/
+export function sendError({request, response, timers, code, id, idHeader, retryMs, isClosing, message}: ErrorAnswer): void {
+	const isBodyMissing = awaitsContinue(request, response);
+	const isBodyComing = !request.complete && !isBodyMissing;
 	const content = Buffer.from(JSON.stringify(errorBody(code, message, retryMs)));
 	response.writeHead(resultCodeTable[code].httpStatus, {
 		'content-type': 'application/json',
@@ -25,7 +41,39 @@
 		'x-fescuewick-code': String(code),
 		...(id === undefined ? {} : {[idHeader]: id}),
 		...(retryMs === undefined ? {} : {'retry-after': (retryMs / 1000).toFixed(2)}),
-		...(isClosing ? {connection: 'close'} : {}),
+		...((isClosing && !isBodyComing) || isBodyMissing ? {connection: 'close'} : {}),
 	});
 	response.end(content);
+	if (isBodyComing) {
+		drainBody(request, timers, isClosing);
+	}
+}
+
+/** Whether the caller sends the body of its request only after it was told to continue, and was not told so yet. */
+export function awaitsContinue({headers}: IncomingMessage, response: ServerResponse): boolean {
+	return headers.expect?.toLowerCase() === '100-continue' && !continued.has(response);
+}
+
+/** Tells a caller that waits for it to send the body of its request. */
+export function sendContinue(request: IncomingMessage, response: ServerResponse): void {
+	if (awaitsContinue(request, response)) {
+		continued.add(response);
+		response.writeContinue();
+	}
+}
+
+/** Reads and drops the rest of a body for a limited time. */
+function drainBody(request: IncomingMessage, timers: TimerService, isClosing: boolean): void {
+	const {socket} = request;
+	const cancel = timers.after(maxDrainMs, () => {
+		socket.destroy();
+	});
+	request.once('close', () => {
+		cancel();
+		if (isClosing) {
+			socket.end();
+		}
+	});
+	request.on('data', () => undefined);
+	request.resume();
 }
--- a/packages/gateway/src/forward/forwarded-request.test.ts
+++ b/packages/gateway/src/forward/forwarded-request.test.ts
@@ -51,6 +51,7 @@
 		latency: new RouteLatency(),
 		slotDemandMeter: new SlotDemandMeter(),
 		isDraining: () => false,
+		maxAnswerBytes: 1_000_000,
 		configurationVersion: () => 1,
 		onFinished: () => undefined,
 	};
--- a/packages/gateway/src/forward/forwarded-request.ts
+++ b/packages/gateway/src/forward/forwarded-request.ts
@@ -2,12 +2,14 @@
 import {
 	ResultCode, resultCodeTable, type Cancel,
 } from '@fescuewick/core';
-import {retryAfterMs} from '../admission/admission.js';
+import {pauseRetryAfterMs, retryAfterMs} from '../admission/admission.js';
 import {type ActiveRequest} from '../admission/request-queues.js';
 import {PlacementFailure, type Placement} from '../placement/placer.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {AnswerRelay} from './answer-relay.js';
-import {AnswerKind, classifyAnswer} from './answer-classification.js';
+import {
+	AnswerKind, classifyAnswer, isAnswerTruncated, recordStreamingAnswer,
+} from './answer-classification.js';
 import {sendError} from './error-answer.js';
 import {type ForwardingContext} from './forwarding-context.js';
 import {RequestPlacement} from './request-placement.js';
@@ -52,6 +54,8 @@
 		this.#answerRelay = new AnswerRelay({
 			admitted, context, openAttempts: this.#openAttempts, onInvalidAnswer: (attempt, reason) => {
 				this.onFail(attempt, new Error(reason));
+			}, onStreaming(attempt) {
+				recordStreamingAnswer(attempt, admitted, context);
 			},
 		});
 	}
@@ -96,7 +100,7 @@
 
 		this.#slotWait.end();
 		if (placement === PlacementFailure.none) {
-			this.#fail(this.#possibleRuns > 0 ? ResultCode.backendCut : ResultCode.noBackend, 'no usable server');
+			this.#failWithoutServer();
 		} else if (placement === PlacementFailure.notAdmitted) {
 			this.#fail(this.#possibleRuns > 0 ? ResultCode.backendCut : ResultCode.queueFull, 'the home region admits other objects');
 		} else {
@@ -106,6 +110,18 @@
 		return true;
 	}
 
+	/** Fails the request because no server may run it; if servers only ask for a pause, the caller is told to come back after it. */
+	#failWithoutServer(): void {
+		const pauseMs = this.#requestPlacement.pauseMs();
+		if (this.#possibleRuns > 0) {
+			this.#fail(ResultCode.backendCut, 'no usable server');
+		} else if (pauseMs === undefined) {
+			this.#fail(ResultCode.noBackend, 'no usable server');
+		} else {
+			this.#fail(ResultCode.noBackend, 'all usable servers ask for a pause', pauseRetryAfterMs(pauseMs, this.context.random()));
+		}
+	}
+
 	/** Fails the request because the process stops. */
 	abort(): void {
 		this.#fail(this.#possibleRuns > 0 ? ResultCode.backendCut : ResultCode.draining, 'the VM is stopping');
@@ -189,6 +205,12 @@
 		const {backend, exchange} = attempt;
 		const head = exchange.head!;
 		this.#openAttempts.finish(attempt);
+		if (attempt.isStreaming && isAnswerTruncated(attempt)) {
+			backend.connections.discard(exchange.connection);
+			this.#endCut('the connection ended before the answer was complete');
+			return;
+		}
+
 		if (attempt.isStreaming) {
 			backend.connections.release(exchange.connection);
 			this.#answerRelay.end();
@@ -245,8 +267,7 @@
 		}
 
 		if (attempt.isStreaming) {
-			this.admitted.request.socket.resetAndDestroy();
-			this.#finish(ResultCode.backendCut, undefined, error.message);
+			this.#endCut(error.message);
 			return;
 		}
 
@@ -306,8 +327,8 @@
 		this.#fail(this.#openAttempts.mayHaveRun || this.#possibleRuns > 0 ? code : ResultCode.deadlineUnreachable, 'the time is over');
 	}
 
-	/** Ends the request with an error answer of the system, or with the fallback answer if there is one. */
-	#fail(code: ResultCode, reason: string): void {
+	/** Ends the request with an error answer of the system, or with the fallback answer if there is one; `retryMs` replaces the usual retry time of a request that was not run. */
+	#fail(code: ResultCode, reason: string, retryMs?: number): void {
 		if (this.#isFinished) {
 			return;
 		}
@@ -327,16 +348,24 @@
 			}
 		}
 
-		const retryMs = isNotRun ? retryAfterMs(this.#timeLeftMs, context.random()) : undefined;
-		if (!response.headersSent) {
-			sendError({
-				response, code, id, retryMs, idHeader: context.dialect.requestIdHeader, isClosing: context.isDraining() || !request.complete,
-			});
+		if (response.headersSent) {
+			this.#endCut(reason, code);
+			return;
 		}
 
+		const {timers, dialect, isDraining} = context;
+		sendError({
+			request, response, timers, code, id, retryMs: isNotRun ? retryMs ?? retryAfterMs(this.#timeLeftMs, context.random()) : undefined, idHeader: dialect.requestIdHeader, isClosing: isDraining(),
+		});
 		this.#finish(code, resultCodeTable[code].httpStatus, reason);
 	}
 
+	/** Ends a request whose answer has been passed on in part, so that the caller does not take it for complete. */
+	#endCut(reason: string, code = ResultCode.backendCut): void {
+		this.admitted.request.socket.resetAndDestroy();
+		this.#finish(code, undefined, reason);
+	}
+
 	/** Cancels the request because the caller closed its connection. */
 	#onCallerClosed(): void {
 		if (!this.#isFinished) {
--- a/packages/gateway/src/forward/forwarding-context.ts
+++ b/packages/gateway/src/forward/forwarding-context.ts
@@ -39,6 +39,8 @@
 	readonly latency: RouteLatency;
 	readonly slotDemandMeter: SlotDemandMeter;
 	readonly isDraining: () => boolean;
+	/** Longest body of an answer, in bytes. */
+	readonly maxAnswerBytes: number;
 	readonly configurationVersion: () => number | undefined;
 	/** Called once for each request; `request` is undefined for those that were refused at admission. */
 	readonly onFinished: (request: ActiveRequest | undefined, summary: RequestSummary) => void;
--- a/packages/gateway/src/forward/header-dialect.ts
+++ b/packages/gateway/src/forward/header-dialect.ts
@@ -37,6 +37,10 @@
 	readonly server: string | undefined;
 	/** Remaining cold time of the server, in milliseconds; undefined if the header is missing. */
 	readonly coldForMs: number | undefined;
+	/** The server says that it is leaving and wants no new requests. */
+	readonly isLeaving: boolean;
+	/** How long the server wants no requests from this VM, in milliseconds; undefined if it does not say so. */
+	readonly pauseMs: number | undefined;
 };
 
 /** Headers by lower-case name. */
--- a/packages/gateway/src/forward/request-placement.ts
+++ b/packages/gateway/src/forward/request-placement.ts
@@ -27,6 +27,11 @@
 		this.#excluded.add(server);
 	}
 
+	/** Time until the first pause ends of a server that may run the request, in milliseconds; undefined if none asks for a pause. */
+	pauseMs(): number | undefined {
+		return this.context.placer.pauseMs(this.admitted.service, this.#homes);
+	}
+
 	find(): Placement | PlacementFailure {
 		return this.context.placer.place({
 			service: this.admitted.service, affinityKey: affinityKeyOf(this.admitted), homeRegions: this.#homes, boundRegion: this.boundRegion, excluded: this.#excluded, region: this.#region,
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -1,4 +1,4 @@
-import {type Socket} from 'node:net';
+import {connect, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {Collection} from '@fescuewick/store';
@@ -39,6 +39,23 @@
 	t.is(await statusOf(call('/check/1', {headers: {'test-key': ''}})), 401);
 });
 
+test('a header name with a space before the colon is refused', async t => {
+	// Guards against a header that this process and a server read differently; some versions of Node.js accept it.
+	const store = storeWith(configuration(1));
+	const server = await addBackend(t, store, {id: 's1'});
+	const {settings} = await start(t, {store});
+	const [host, port] = settings.listen.entry.split(':');
+	const socket = connect(Number(port), host);
+	socket.write('GET /check/1 HTTP/1.1\r\nhost: 127.0.0.1\r\ntest-key: key-acme\r\ntest-workspace : other\r\nconnection: close\r\n\r\n');
+	const chunks: string[] = [];
+	for await (const chunk of socket) {
+		chunks.push(String(chunk));
+	}
+
+	t.regex(chunks.join(''), /^HTTP\/1\.1 400 /);
+	t.is(server.requests.length, 0);
+});
+
 test('a VM without a configuration refuses requests with a retry time and is not ready', async t => {
 	// Guards against 404 and 401 for routes and keys that are not loaded yet.
 	const store = storeWith(configuration(1));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,10 +18,11 @@
 import {PeerClient} from './peers/peer-client.js';
 import {PeerTable} from './peers/peer-table.js';
 import {Registration} from './peers/registration.js';
-import {Placer} from './placement/placer.js';
+import {LeavingSource, Placer} from './placement/placer.js';
 import {type ShiftedFractions} from './placement/region-plan.js';
 import {Prober} from './placement/prober.js';
 import {RegionalDemand, SlotDemandMeter, type SlotDemand} from './placement/slot-demand-meter.js';
+import {registerGauges} from './server/gauges.js';
 import {applyLimits, createFrontServer, stopFrontServer} from './server/front-server.js';
 import {RequestHandler} from './server/request-handler.js';
 import {
@@ -119,6 +120,9 @@
 				this.#replicaSync.onHeartbeat(heartbeat);
 				this.#limiter.applyReports(heartbeat.record.vm, heartbeat.incarnation, heartbeat.buckets);
 			},
+			onLeaving: (start, peerAddress) => {
+				this.#placer.markLeaving(start, LeavingSource.peer, peerAddress);
+			},
 		});
 		this.#registration = new Registration({
 			store: deps.store,
@@ -156,6 +160,10 @@
 			bounds: () => this.settings.bounds,
 			vm: location.vm,
 			limitSharersIn: name => this.#peers.limitSharersIn(name),
+			maxAnswerHeadBytes: settings.answers.maxHeadBytes,
+			onLeaving: start => {
+				this.#gossip.announceLeaving(start);
+			},
 			onSlotAvailable: () => {
 				this.#queues.retryAllQueuedRequests();
 			},
@@ -173,7 +181,7 @@
 			},
 		});
 		const context = this.#createContext();
-		this.#handler = new RequestHandler(context, () => this.#state.configuration);
+		this.#handler = new RequestHandler(context, () => this.#state.configuration, settings.uploads);
 		this.#frontServer = createFrontServer(this.#handler, logger);
 		this.#auxiliaryServers = this.#createAuxiliaryServers();
 		for (const collection of followedCollections) {
@@ -185,7 +193,13 @@
 			});
 		}
 
+		const unknownValues = this.#metrics.gauge('fescuewick_configuration_unknown_values', 'Values of the configuration in force that this version does not know and reads with the safest meaning');
+		unknownValues.set(0);
+		registerGauges({
+			metrics: this.#metrics, placer: this.#placer, handler: this.#handler, timers,
+		});
 		this.#state.events.on('configuration', index => {
+			unknownValues.set(index.configuration.unknownValues?.length ?? 0);
 			this.#limiter.configure(index.workspaces.values());
 			applyLimits(this.#frontServer, index.configuration.limits);
 		});
@@ -339,6 +353,7 @@
 			latency: this.#latency,
 			slotDemandMeter: this.#slotDemandMeter,
 			isDraining: () => this.#isStopping,
+			maxAnswerBytes: this.settings.answers.maxBodyBytes,
 			configurationVersion: () => this.#state.configuration?.version,
 			onFinished: (request, summary) => {
 				if (request !== undefined) {
--- a/packages/gateway/src/model/records.ts
+++ b/packages/gateway/src/model/records.ts
@@ -20,6 +20,24 @@
 	readonly startedAtMs: number;
 };
 
+const addressPattern = /^\[?[\d.:a-fA-F]+]?:(\d{1,5})$/;
+const maxPort = 65_535;
+
+/** Whether a value is a complete record of a VM; other versions and faulty VMs may send anything. */
+export function isVmRecord(value: unknown): value is VmRecord {
+	if (typeof value !== 'object' || value === null) {
+		return false;
+	}
+
+	const {vm, failureDomain, region, entryAddress, peerAddress, heartbeatAddress} = value as Partial<Record<keyof VmRecord, unknown>>;
+	return [vm, failureDomain, region].every(name => typeof name === 'string') && [entryAddress, peerAddress, heartbeatAddress].every(address => isAddress(address));
+}
+
+function isAddress(value: unknown): boolean {
+	const port = typeof value === 'string' ? Number(addressPattern.exec(value)?.[1]) : 0;
+	return port > 0 && port <= maxPort;
+}
+
 /** A VM of the system and the addresses of its interfaces, as `ip:port`. */
 export type VmRecord = {
 	readonly vm: string;
--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -3,6 +3,8 @@
 import {once} from 'node:events';
 import {type Cancel, type Logger, type TimerService} from '@fescuewick/core';
 import {splitAddress} from '@fescuewick/wire';
+import {type ServerStart} from '../placement/server-statements.js';
+import {decodeLeavingNotice, encodeLeavingNotice} from './leaving-notice.js';
 import {
 	decodeHeartbeat, encodeHeartbeat, type Heartbeat,
 } from './heartbeat.js';
@@ -25,6 +27,8 @@
 	readonly createHeartbeat: (isFull: boolean) => Omit<Heartbeat, 'sequence'>;
 	/** Called for each heartbeat that is newer than the last one of its VM. */
 	readonly onHeartbeat: (heartbeat: Heartbeat) => void;
+	/** Called when a peer says that a backend server is leaving. */
+	readonly onLeaving: (start: ServerStart, peerAddress: string) => void;
 };
 
 /** Sends heartbeats to all known VMs, receives theirs and relays them; owns the UDP socket. */
@@ -39,8 +43,8 @@
 	/** Binds the socket and starts sending. */
 	async start(): Promise<void> {
 		const {host, port} = splitAddress(this.options.table.self.heartbeatAddress);
-		this.#socket.on('message', datagram => {
-			this.#receive(datagram);
+		this.#socket.on('message', (datagram, {address}) => {
+			this.#receive(datagram, address);
 		});
 		this.#socket.bind(port, host);
 		await once(this.#socket, 'listening');
@@ -64,14 +68,27 @@
 		this.#forward(encodeHeartbeat({...createHeartbeat(isFull), sequence: this.#sequence}), this.#sequence, scope);
 	}
 
+	/** Tells the VMs of the region that a backend server says that it is leaving. A lost notice is not repeated: those VMs learn it from an answer of the server. */
+	announceLeaving(start: ServerStart): void {
+		this.#forward(encodeLeavingNotice(start), this.#sequence, HeartbeatScope.region);
+	}
+
 	stop(): void {
 		this.#cancel?.();
 		this.#socket.close();
 	}
 
-	#receive(datagram: Buffer): void {
-		const {table, logger, onHeartbeat} = this.options;
+	#receive(datagram: Buffer, address: string): void {
+		const {table, logger, onHeartbeat, onLeaving} = this.options;
 		const content = datagram.subarray(1);
+		const scope: HeartbeatScope = datagram[0];
+		const leaving = decodeLeavingNotice(content);
+		if (leaving !== undefined) {
+			onLeaving(leaving, address);
+			this.#relay(content, this.#sequence, scope);
+			return;
+		}
+
 		const heartbeat = decodeHeartbeat(content);
 		if (heartbeat === undefined) {
 			logger.warn({event: 'heartbeat-unreadable', sizeBytes: datagram.length}, 'datagram is not a heartbeat of this format');
@@ -83,27 +100,31 @@
 		}
 
 		onHeartbeat(heartbeat);
-		const scope: HeartbeatScope = datagram[0];
+		this.#relay(content, heartbeat.sequence, scope);
+	}
+
+	/** Relays a received datagram within the scope that its sender asked for. */
+	#relay(content: Buffer, sequence: number, scope: HeartbeatScope): void {
 		if (scope > HeartbeatScope.vm) {
-			this.#forward(content, heartbeat.sequence, Math.min(scope, HeartbeatScope.region));
+			this.#forward(content, sequence, Math.min(scope, HeartbeatScope.region));
 		}
 	}
 
-	/** Sends an own or relayed heartbeat to the recipients within a scope. */
-	#forward(heartbeat: Buffer, sequence: number, scope: HeartbeatScope): void {
+	/** Sends an own or relayed datagram to the recipients within a scope. */
+	#forward(content: Buffer, sequence: number, scope: HeartbeatScope): void {
 		const {table} = this.options;
 		const alive = new Set([...table.alive()].map(({record}) => record.vm));
 		for (const recipient of recipients({
 			own: table.self, peers: [...table.records()], alive, sequence, scope,
 		})) {
-			this.#sendTo(recipient.record.heartbeatAddress, recipient.scope, heartbeat);
+			this.#sendTo(recipient.record.heartbeatAddress, recipient.scope, content);
 		}
 	}
 
 	/** Sends a datagram whose first byte is the scope within which the recipient relays it. */
-	#sendTo(address: string, scope: HeartbeatScope, heartbeat: Buffer): void {
+	#sendTo(address: string, scope: HeartbeatScope, content: Buffer): void {
 		const {host, port} = splitAddress(address);
-		this.#socket.send([Buffer.of(scope), heartbeat], port, host, error => {
+		this.#socket.send([Buffer.of(scope), content], port, host, error => {
 			// A send error needs no handling: an unreachable peer is detected by its missing heartbeats.
 			if (error !== null) {
 				this.options.logger.debug({event: 'heartbeat-not-sent', to: address, reason: error.message}, 'heartbeat not sent');
--- a/packages/gateway/src/peers/heartbeat.ts
+++ b/packages/gateway/src/peers/heartbeat.ts
@@ -1,7 +1,7 @@
 import {type Buffer} from 'node:buffer';
 import {decode, encode} from 'cbor-x';
 import {type BucketReports} from '../limits/shared-token-bucket.js';
-import {type VmRecord} from '../model/records.js';
+import {isVmRecord, type VmRecord} from '../model/records.js';
 import {type ShiftedFractions} from '../placement/region-plan.js';
 import {type SlotDemand, type SlotsByService} from '../placement/slot-demand-meter.js';
 import {followedCollections} from '../state/followed-collections.js';
@@ -73,10 +73,15 @@
 		return undefined;
 	}
 
+	const record = {
+		vm: recordFields[0], failureDomain: recordFields[1], region: recordFields[2], entryAddress: recordFields[3], peerAddress: recordFields[4], heartbeatAddress: recordFields[5],
+	};
+	if (!isVmRecord(record) || flatRevisions.length < followedCollections.length * 2 || flatRevisions.some(revision => typeof revision !== 'number')) {
+		return undefined;
+	}
+
 	return {
-		record: {
-			vm: recordFields[0], failureDomain: recordFields[1], region: recordFields[2], entryAddress: recordFields[3], peerAddress: recordFields[4], heartbeatAddress: recordFields[5],
-		},
+		record,
 		incarnation,
 		sequence,
 		isReady,
--- a/packages/gateway/src/peers/peer-table.ts
+++ b/packages/gateway/src/peers/peer-table.ts
@@ -1,5 +1,5 @@
 import {type Logger, type TimerService} from '@fescuewick/core';
-import {type VmRecord} from '../model/records.js';
+import {isVmRecord, type VmRecord} from '../model/records.js';
 import {type Heartbeat} from './heartbeat.js';
 import {isLargeRegion} from './heartbeat-recipients.js';
 import {StoreAccess} from './store-readers.js';
@@ -14,6 +14,9 @@
 */
 const shareReservationMs = 30_000;
 
+/** Length to which a malformed record is shown. */
+const maxShownCharacters = 200;
+
 type Peer = {
 	record: VmRecord;
 	heartbeat: Heartbeat | undefined;
@@ -38,7 +41,12 @@
 	}
 
 	/** Adds a VM named by the store or by a peer's list; a record from its own heartbeats takes precedence. */
-	addDiscovered(record: VmRecord): void {
+	addDiscovered(record: unknown): void {
+		if (!isVmRecord(record)) {
+			this.options.logger.warn({event: 'peer-ignored', record: String(JSON.stringify(record)).slice(0, maxShownCharacters)}, 'a record of a VM is not complete and is ignored');
+			return;
+		}
+
 		const known = this.#peers.get(record.vm);
 		if (record.vm === this.self.vm || known?.heartbeat !== undefined) {
 			return;
--- a/packages/gateway/src/peers/registration.ts
+++ b/packages/gateway/src/peers/registration.ts
@@ -4,7 +4,6 @@
 import {
 	Collection, Freshness, type CollectionStore, type Listing,
 } from '@fescuewick/store';
-import {type VmRecord} from '../model/records.js';
 import {type Replica} from '../state/replica.js';
 import {type StoreCircuitBreaker} from '../state/store-circuit-breaker.js';
 import {type PeerClient} from './peer-client.js';
@@ -109,7 +108,7 @@
 		vms.applyListing(listing);
 		for (const {value} of listing.records) {
 			if (value !== undefined) {
-				table.addDiscovered(value as VmRecord);
+				table.addDiscovered(value);
 			}
 		}
 	}
--- a/packages/gateway/src/placement/backend.ts
+++ b/packages/gateway/src/placement/backend.ts
@@ -3,11 +3,12 @@
 import {OneSecondCounter} from '../limits/cold-allowance.js';
 import {BackendState, type BackendRecord} from '../model/records.js';
 import {type KnownBackend} from '../state/fleet-state.js';
-import chart from './backend-health.chart.json' with {type: 'json'};
+import chart from './backend-condition.chart.json' with {type: 'json'};
 import {PeerLoadEstimator} from './peer-load-estimator.js';
+import {type ServerStart} from './server-statements.js';
 
-/** Events of the health state machine of a backend server. */
-export enum HealthEvent {
+/** Events that change the condition of a backend server. */
+export enum ConditionEvent {
 	/** A connection could not be opened, or a probe failed. */
 	unreachable = 'unreachable',
 	/** Another server answered at its address. */
@@ -15,19 +16,34 @@
 	probeSucceeded = 'probeSucceeded',
 	/** It registered again after a restart. */
 	restarted = 'restarted',
+	/** It said that it is leaving. */
+	saidLeaving = 'saidLeaving',
+	/** It asked for a pause. */
+	pauseAsked = 'pauseAsked',
+	pauseEnded = 'pauseEnded',
 }
 
-/** States of the health state machine of a backend server. */
-export enum HealthState {
-	healthy = 'healthy',
+/** Condition of a backend server as this VM knows it. The first five are states of the chart; a ready server may besides be cold or grey, by measurement. */
+export enum Condition {
+	ready = 'ready',
+	/** It wants no requests from this VM for some time. */
+	pausing = 'pausing',
+	/** It cannot be reached; a probe must succeed before it is used. */
 	down = 'down',
+	/** It wants no new requests and will end. */
+	leaving = 'leaving',
+	/** Another server answers at its address. */
 	replaced = 'replaced',
+	/** It tolerates only a limited rate of requests, as after its start. */
+	cold = 'cold',
+	/** It answers, but so slowly or with so many failures that others are preferred. */
+	grey = 'grey',
 }
 
 /** Running and queued requests that a backend server reported with an answer. */
 export type ReportedLoad = {readonly running: number; readonly waiting: number};
 
-const healthChart = chart as Chart;
+const conditionChart = chart as Chart;
 /** Window of the failure rate. */
 const outcomeWindowMs = 3000;
 /** Minimum number of samples before a server is deprioritized. */
@@ -49,7 +65,8 @@
 	/** Requests sent to it in the last second while it was cold. */
 	readonly coldRequests = new OneSecondCounter();
 	#known: KnownBackend;
-	#health = HealthState.healthy;
+	#state = Condition.ready;
+	#pausedUntilMs = Number.NEGATIVE_INFINITY;
 	#coldUntilMs = 0;
 	readonly #peerLoad = new PeerLoadEstimator();
 	#fullUntilMs = 0;
@@ -71,8 +88,32 @@
 		return this.#known.record;
 	}
 
-	get health(): HealthState {
-		return this.#health;
+	/** Its present start. */
+	get start(): ServerStart {
+		const {id, startedAtMs} = this.#known.record;
+		return {id, startedAtMs};
+	}
+
+	/** End of the pause that it asked for last. */
+	get pausedUntilMs(): number {
+		return this.#pausedUntilMs;
+	}
+
+	/** The one condition that decides how it is used. */
+	condition(nowMs: number): Condition {
+		if (this.#state !== Condition.ready) {
+			return this.#state;
+		}
+
+		if (this.#known.record.state === BackendState.draining) {
+			return Condition.leaving;
+		}
+
+		if (this.isCold(nowMs)) {
+			return Condition.cold;
+		}
+
+		return this.isDeprioritized(nowMs) ? Condition.grey : Condition.ready;
 	}
 
 	get slots(): number {
@@ -81,19 +122,25 @@
 
 	/** Whether new requests may be sent to it. */
 	get isUsable(): boolean {
-		return this.#health === HealthState.healthy && this.#known.record.state === BackendState.ready;
+		return this.#state === Condition.ready && this.#known.record.state === BackendState.ready;
+	}
+
+	/** Whether it is registered as ready but down, so that a probe must succeed before it is used; during a pause it gets no probes either. */
+	needsProbe(nowMs: number): boolean {
+		return this.#state === Condition.down && this.#known.record.state === BackendState.ready && nowMs >= this.#pausedUntilMs;
 	}
 
-	/** Whether it is registered as ready but down, so that a probe must succeed before it is used. */
-	get needsProbe(): boolean {
-		return this.#health === HealthState.down && this.#known.record.state === BackendState.ready;
+	/** Whether it is registered as ready and only asks for a pause. */
+	get isPausing(): boolean {
+		return this.#state === Condition.pausing && this.#known.record.state === BackendState.ready;
 	}
 
 	/** Applies a changed record. */
 	update(known: KnownBackend): void {
 		const isRestart = known.record.startedAtMs !== this.#known.record.startedAtMs;
 		if (isRestart) {
-			this.applyHealthEvent(HealthEvent.restarted);
+			this.apply(ConditionEvent.restarted);
+			this.#pausedUntilMs = Number.NEGATIVE_INFINITY;
 			this.#outcomes = [];
 			this.#latencyRatioCount = 0;
 			this.#peerLoad.reset();
@@ -106,17 +153,30 @@
 		this.#known = known;
 	}
 
-	/** Sends an event to the health state machine; returns whether the state changed. */
-	applyHealthEvent(event: HealthEvent): boolean {
-		const next = nextState(healthChart, this.#health, event) as HealthState | undefined;
-		if (next === undefined || next === this.#health) {
+	/** Applies an event; returns whether its state changed. */
+	apply(event: ConditionEvent): boolean {
+		const next = nextState(conditionChart, this.#state, event) as Condition | undefined;
+		if (next === undefined || next === this.#state) {
 			return false;
 		}
 
-		this.#health = next;
+		this.#state = next;
 		return true;
 	}
 
+	/** Takes no requests until a time. */
+	pause(untilMs: number): void {
+		this.#pausedUntilMs = Math.max(this.#pausedUntilMs, untilMs);
+		this.apply(ConditionEvent.pauseAsked);
+	}
+
+	/** Ends the pause until a given time, unless it was extended meanwhile. */
+	endPause(untilMs: number): void {
+		if (untilMs === this.#pausedUntilMs) {
+			this.apply(ConditionEvent.pauseEnded);
+		}
+	}
+
 	/** Marks it as cold for at least `durationMs` from `fromMs`. */
 	markCold(durationMs: number, fromMs: number): void {
 		if (durationMs > 0) {
--- a/packages/gateway/src/placement/placer.test.ts
+++ b/packages/gateway/src/placement/placer.test.ts
@@ -28,7 +28,9 @@
 		bounds: () => ({shiftMost: 0.15, coldOvershoot: 1.5, coldSlack: 2}),
 		vm: 'a1',
 		limitSharersIn: () => ['a1', 'a2'],
+		maxAnswerHeadBytes: 16_384,
 		onSlotAvailable: () => undefined,
+		onLeaving: () => undefined,
 	});
 	handlers.get('backends')!();
 	return placer;
--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -1,13 +1,14 @@
 import {hashFraction, rendezvousOrder} from '@fescuewick/core';
 import {ConnectionPool} from '@fescuewick/entry/http';
 import {coldAllowancePerS} from '../limits/cold-allowance.js';
-import {Backend, HealthEvent} from './backend.js';
+import {Backend, ConditionEvent} from './backend.js';
 import {
 	chooseByAffinity, chooseLeastLoaded, type Candidate, type ChoiceReason,
 } from './choose-backend.js';
 import {
 	RegionPlan, type ShiftedFractions, type RegionPlanOptions, type ServerLoad,
 } from './region-plan.js';
+import {ServerStatements, type ServerStart} from './server-statements.js';
 import {SpilloverLimiter} from './spillover-limiter.js';
 import {type RegionalDemand} from './slot-demand-meter.js';
 
@@ -18,6 +19,9 @@
 /** Fraction of the limit on shifts between regions that may be used by spillover, requests that find no capacity in their region. */
 const spilloverFraction = 0.25;
 
+/** Longest pause that a server gets from one answer, in milliseconds; protects the service from servers that ask for more by mistake. */
+const maxPauseMs = 300_000;
+
 /** Limits on placement. */
 export type PlacementBounds = {
 	/** Maximum fraction of a region's requests that may change the region between two windows. */
@@ -54,14 +58,28 @@
 	notAdmitted = 'not-admitted',
 }
 
+/** Where a server said that it is leaving. */
+export enum LeavingSource {
+	/** In its answer to a request of this VM. */
+	answer = 'answer',
+	/** In its answer to a probe of this VM. */
+	probe = 'probe',
+	/** In its answer to a peer. */
+	peer = 'peer',
+}
+
 type PlacerOptions = Omit<RegionPlanOptions, 'bounds'> & {
 	readonly regionOf: (failureDomain: string) => string | undefined;
 	readonly bounds: () => PlacementBounds;
 	readonly vm: string;
 	/** Names of the VMs of a region that hold a share of the limits, because they may send to its servers; this one included if it is in that region. */
 	readonly limitSharersIn: (region: string) => readonly string[];
+	/** Longest head of a server's answer, in bytes. */
+	readonly maxAnswerHeadBytes: number;
 	/** Called when a server may have capacity again. */
 	readonly onSlotAvailable: () => void;
+	/** Called when an answer to this VM said that a server is leaving. */
+	readonly onLeaving: (start: ServerStart) => void;
 };
 
 type BackendCandidate = Candidate & {readonly backend: Backend};
@@ -72,6 +90,7 @@
 	readonly #byService = new Map<string, Backend[]>();
 	readonly #cachedOrders = new Map<string, string[]>();
 	readonly #spilloverLimiters = new Map<string, SpilloverLimiter>();
+	readonly #statements = new ServerStatements();
 	readonly #plan: RegionPlan;
 
 	constructor(private readonly options: PlacerOptions) {
@@ -280,10 +299,13 @@
 			const region = regionOf(known.record.failureDomain);
 			if (backend !== undefined) {
 				backend.update(known);
+				this.#applyStatements(backend);
 			} else if (region === undefined) {
 				logger.warn({event: 'backend-ignored', server: id, failureDomain: known.record.failureDomain}, 'backend server ignored: its failure domain belongs to no known region');
 			} else {
-				this.#backends.set(id, new Backend(known, region, this.#connect(known.record.address, known.record.service)));
+				const created = new Backend(known, region, this.#connect(known.record.address, known.record.service));
+				this.#backends.set(id, created);
+				this.#applyStatements(created);
 			}
 		}
 
@@ -303,6 +325,7 @@
 		return new ConnectionPool(`http://${address}`, {
 			timers,
 			connectTimeoutMs,
+			maxHeadBytes: this.options.maxAnswerHeadBytes,
 			// `maxConnections` limits all VMs together, and each VM uses a fraction of it; half of the limit is headroom for VMs that learn of each other too late.
 			limit: () => Math.max(4, Math.floor((state.configuration?.services.get(service)?.maxConnections ?? 64) / 8)),
 			onCapacityFreed: onSlotAvailable,
@@ -311,15 +334,80 @@
 
 	/** Marks a server as unreachable after a failed connection or probe. */
 	markUnreachable(backend: Backend, reason: string): void {
-		if (backend.applyHealthEvent(HealthEvent.unreachable)) {
+		if (backend.apply(ConditionEvent.unreachable)) {
 			this.options.logger.warn({event: 'backend-down', server: backend.id, reason}, 'backend server is unreachable');
 			backend.connections.closeIdle();
 		}
 	}
 
+	/** Stops sending to a server that said that it is leaving, until it starts again. */
+	markLeaving(start: ServerStart, source: LeavingSource, peerAddress?: string): void {
+		if (!this.#statements.addLeaving(start)) {
+			return;
+		}
+
+		const backend = this.#backends.get(start.id);
+		this.options.logger.info({
+			event: 'backend-leaving', server: start.id, startedAtMs: start.startedAtMs, service: backend?.record.service, source, peerAddress,
+		}, 'backend server says that it is leaving');
+		if (source !== LeavingSource.peer) {
+			this.options.onLeaving(start);
+		}
+
+		if (backend !== undefined) {
+			this.#applyStatements(backend);
+		}
+	}
+
+	/** Sends nothing to a server for the pause that it asked for, at most `maxPauseMs`. */
+	markPausing(start: ServerStart, pauseMs: number): void {
+		const {timers, logger} = this.options;
+		const nowMs = timers.nowMs();
+		const appliedMs = Math.min(pauseMs, maxPauseMs);
+		const untilMs = nowMs + appliedMs;
+		if (appliedMs <= 0 || untilMs <= this.#statements.pausedUntilMs(start)) {
+			return;
+		}
+
+		this.#statements.addPause(start, untilMs);
+		const backend = this.#backends.get(start.id);
+		logger.info({
+			event: 'backend-pausing', server: start.id, service: backend?.record.service, pauseMs, appliedMs,
+		}, 'backend server asks for a pause');
+		if (backend !== undefined) {
+			this.#applyStatements(backend);
+		}
+	}
+
+	/** Time until the first pause ends of a server that would otherwise be usable, in milliseconds; undefined if none asks for a pause. */
+	pauseMs(service: string, homeRegions: readonly string[] | undefined): number | undefined {
+		const ends = (this.#byService.get(service) ?? [])
+			.filter(backend => backend.isPausing && homeRegions?.includes(backend.region) !== false && !this.options.state.isEvacuated(backend.record.failureDomain))
+			.map(({pausedUntilMs}) => pausedUntilMs);
+		return ends.length === 0 ? undefined : Math.max(0, Math.min(...ends) - this.options.timers.nowMs());
+	}
+
+	/** Applies what a server said about its present start to its condition. */
+	#applyStatements(backend: Backend): void {
+		const {timers, onSlotAvailable} = this.options;
+		if (this.#statements.isLeaving(backend.start) && backend.apply(ConditionEvent.saidLeaving)) {
+			backend.connections.closeIdle();
+		}
+
+		const pausedUntilMs = this.#statements.pausedUntilMs(backend.start);
+		const nowMs = timers.nowMs();
+		if (pausedUntilMs > nowMs && pausedUntilMs > backend.pausedUntilMs) {
+			backend.pause(pausedUntilMs);
+			timers.after(pausedUntilMs - nowMs, () => {
+				backend.endPause(pausedUntilMs);
+				onSlotAvailable();
+			});
+		}
+	}
+
 	/** Marks a server as replaced when another server answered at its address. */
 	markReplaced(backend: Backend): void {
-		if (backend.applyHealthEvent(HealthEvent.misdirected)) {
+		if (backend.apply(ConditionEvent.misdirected)) {
 			this.options.logger.warn({event: 'backend-replaced', server: backend.id, address: backend.record.address}, 'another server answers at the address of this backend server');
 			backend.connections.closeIdle();
 		}
--- a/packages/gateway/src/placement/prober.ts
+++ b/packages/gateway/src/placement/prober.ts
@@ -1,8 +1,8 @@
 import {request, type Dispatcher} from 'undici';
 import {type Cancel, type Logger, type TimerService} from '@fescuewick/core';
 import {type HeaderDialect} from '../forward/header-dialect.js';
-import {type Backend, HealthEvent} from './backend.js';
-import {type Placer} from './placer.js';
+import {type Backend, ConditionEvent} from './backend.js';
+import {LeavingSource, type Placer} from './placer.js';
 
 /** Probe interval of unreachable servers; each probe has a cost, and a server rarely recovers sooner. */
 const probeIntervalMs = 1000;
@@ -31,7 +31,7 @@
 	start(): void {
 		this.#cancel = this.options.timers.repeat(probeIntervalMs, () => {
 			for (const backend of this.options.placer.backends) {
-				if (backend.needsProbe && !this.#probing.has(backend.id) && backend.region === this.options.region) {
+				if (backend.needsProbe(this.options.timers.nowMs()) && !this.#probing.has(backend.id) && backend.region === this.options.region) {
 					this.#probing.add(backend.id);
 					void this.#probe(backend);
 				}
@@ -46,15 +46,20 @@
 	async #probe(backend: Backend): Promise<void> {
 		const {timers, dialect, dispatcher, healthPathOf, placer, logger, onSlotAvailable} = this.options;
 		const {address, service} = backend.record;
+		const serverStart = backend.start;
 		try {
 			const response = await request(`http://${address}${healthPathOf(service) ?? '/'}`, {dispatcher, signal: AbortSignal.timeout(probeTimeoutMs), reset: true});
 			await response.body.dump();
-			const {server, coldForMs} = dialect.readAnswer(response.statusCode, response.headers);
+			const {server, coldForMs, isLeaving, pauseMs} = dialect.readAnswer(response.statusCode, response.headers);
 			if (server !== undefined && server !== backend.id) {
 				placer.markReplaced(backend);
+			} else if (isLeaving) {
+				placer.markLeaving(serverStart, LeavingSource.probe);
+			} else if (pauseMs !== undefined) {
+				placer.markPausing(serverStart, pauseMs);
 			} else if (response.statusCode === 200) {
 				backend.markCold(coldForMs ?? 0, timers.nowMs());
-				backend.applyHealthEvent(HealthEvent.probeSucceeded);
+				backend.apply(ConditionEvent.probeSucceeded);
 				logger.info({event: 'backend-up', server: backend.id, coldForMs}, 'backend server is reachable again');
 				onSlotAvailable();
 			}
--- a/packages/gateway/src/server/front-server.ts
+++ b/packages/gateway/src/server/front-server.ts
@@ -1,4 +1,6 @@
-import {createServer, type Server} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {type Logger, type TimerService} from '@fescuewick/core';
 import {stopListening} from '@fescuewick/entry/http';
 import {type CallerLimits} from '../model/configuration.js';
@@ -31,6 +33,10 @@
 	}, (request, response) => {
 		void handler.handle(request, response);
 	});
+	// Without a listener, callers are told to send their bodies before their requests are admitted.
+	server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+		void handler.handle(request, response);
+	});
 	server.on('clientError', (error: Error & {code?: string}, socket) => {
 		if (error.code === 'ECONNRESET' || !socket.writable) {
 			socket.destroy();
--- /dev/null
+++ b/packages/gateway/src/server/gauges.ts
@@ -0,0 +1,38 @@
+import {countBy} from 'es-toolkit';
+import {Gauge} from 'prom-client';
+import {type Metrics, type TimerService} from '@fescuewick/core';
+import {Condition} from '../placement/backend.js';
+import {type Placer} from '../placement/placer.js';
+import {type RequestHandler} from './request-handler.js';
+
+type GaugeSources = {
+	readonly metrics: Metrics;
+	readonly placer: Placer;
+	readonly handler: RequestHandler;
+	readonly timers: TimerService;
+};
+
+/** Registers gauges that are computed when metrics are read: backend servers by condition, and memory for bodies. */
+export function registerGauges({metrics: {registry}, placer, handler, timers}: GaugeSources): void {
+	const registers = [registry];
+	const backends = new Gauge({
+		name: 'fescuewick_backends',
+		help: 'Backend servers by condition as this VM knows it',
+		labelNames: ['condition'],
+		registers,
+		collect() {
+			const counts = countBy([...placer.backends], backend => backend.condition(timers.nowMs()));
+			for (const condition of Object.values(Condition)) {
+				backends.set({condition}, counts[condition] ?? 0);
+			}
+		},
+	});
+	const bodies = new Gauge({
+		name: 'fescuewick_buffered_body_bytes',
+		help: 'Memory reserved for buffered bodies of requests',
+		registers,
+		collect() {
+			bodies.set(handler.bufferedBytes);
+		},
+	});
+}
--- a/packages/gateway/src/server/request-handler.ts
+++ b/packages/gateway/src/server/request-handler.ts
@@ -1,14 +1,17 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {ResultCode, resultCodeName, toFescuewickError} from '@fescuewick/core';
-import {hasBody, noBody, readBody} from '@fescuewick/entry/http';
+import {
+	BodyBufferBudget, checkBodyLength, checkHeaderNames, hasBody, noBody, readBody, type BodyLimits, type RequestBody,
+} from '@fescuewick/entry/http';
 import {rateRetryAfterMs} from '../admission/admission.js';
 import {type ActiveRequest} from '../admission/request-queues.js';
 import {type ForwardingContext} from '../forward/forwarding-context.js';
 import {type RequestFields} from '../forward/header-dialect.js';
-import {sendError} from '../forward/error-answer.js';
+import {sendContinue, sendError} from '../forward/error-answer.js';
 import {ForwardedRequest} from '../forward/forwarded-request.js';
 import {type ConfigurationIndex, type Route, type Workspace} from '../model/configuration.js';
 import {WeightedRoundRobin} from '../placement/weighted-round-robin.js';
+import {type GatewaySettings} from '../settings.js';
 
 /** Bodies up to this size are buffered, so that requests can be retried. */
 const maxReplayBytes = 262_144;
@@ -17,6 +20,7 @@
 /** Retry time for callers of a stopping VM, in milliseconds; short, because another VM accepts them at once. */
 const drainingRetryMs = 50;
 
+type UploadLimits = GatewaySettings['uploads'];
 type RequestRefusal = {readonly code: ResultCode; readonly retryMs?: number; readonly message?: string; readonly workspace?: string};
 type RequestAdmission = {readonly route: Route; readonly workspace: Workspace | undefined};
 
@@ -26,10 +30,18 @@
 	readonly activeRequests = new Set<ActiveRequest>();
 	/** Whether new requests are refused, because the process stops. */
 	isRefusing = false;
+	readonly #bodyMemory: BodyBufferBudget;
 	readonly #serviceTurns = new WeakMap<Route, WeightedRoundRobin>();
 	#sequence = 0;
 
-	constructor(private readonly context: ForwardingContext, private readonly configuration: () => ConfigurationIndex | undefined) {}
+	constructor(private readonly context: ForwardingContext, private readonly configuration: () => ConfigurationIndex | undefined, {maxBufferedBytes}: UploadLimits) {
+		this.#bodyMemory = new BodyBufferBudget(maxBufferedBytes);
+	}
+
+	/** Memory reserved for buffered bodies, in bytes. */
+	get bufferedBytes(): number {
+		return this.#bodyMemory.usedBytes;
+	}
 
 	/** Handles one request. */
 	async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -46,7 +58,7 @@
 		const {limits} = this.configuration()!.configuration;
 		const timeoutMs = requestTimeoutMs(route, fields);
 		try {
-			const body = hasBody(request) ? await readBody(request, {maxBodyBytes: limits.maxBodyBytes, maxReplayBytes, bodyTimeMs: timeoutMs}, timers) : noBody;
+			const body = hasBody(request) ? await this.#readBody(request, response, {maxBodyBytes: limits.maxBodyBytes, bodyTimeMs: timeoutMs}) : noBody;
 			const id = fields.id ?? this.#newId();
 			const forwardedRequest = new ForwardedRequest(this.context, {
 				request, response, fields, id, route, workspace, service: this.#serviceOf(route), body, arrivedAtMs, deadlineAtMs: arrivedAtMs + timeoutMs,
@@ -63,6 +75,21 @@
 		}
 	}
 
+	/** Reads a body as far as it is buffered; without memory for it, the request is streamed and cannot be sent to a second server. */
+	async #readBody(request: IncomingMessage, response: ServerResponse, limits: Omit<BodyLimits, 'maxReplayBytes'>): Promise<RequestBody> {
+		checkBodyLength(request, limits.maxBodyBytes);
+		const reservedBytes = Math.min(Number(request.headers['content-length'] ?? maxReplayBytes), maxReplayBytes);
+		const isReserved = this.#bodyMemory.reserve(reservedBytes);
+		if (isReserved) {
+			response.once('close', () => {
+				this.#bodyMemory.release(reservedBytes);
+			});
+		}
+
+		sendContinue(request, response);
+		return readBody(request, {...limits, maxReplayBytes: isReserved ? maxReplayBytes : 0}, this.context.timers);
+	}
+
 	/** To be called when a request has ended. */
 	onFinished(request: ActiveRequest): void {
 		this.activeRequests.delete(request);
@@ -83,6 +110,13 @@
 			return {code: ResultCode.malformedRequest, message: 'the request needs a host and a path'};
 		}
 
+		try {
+			checkHeaderNames(request.rawHeaders);
+		} catch (error) {
+			const {code, message} = toFescuewickError(error);
+			return {code, message};
+		}
+
 		const route = configuration.findRoute(host, request.url!);
 		if (route === undefined) {
 			return {code: ResultCode.noRoute};
@@ -116,7 +150,7 @@
 		const {code, retryMs, message} = refusal;
 		if (!response.headersSent && !response.destroyed) {
 			sendError({
-				response, code, id: fields.id, idHeader: this.context.dialect.requestIdHeader, retryMs, message, isClosing: this.context.isDraining() || !request.complete,
+				request, response, timers: this.context.timers, code, id: fields.id, idHeader: this.context.dialect.requestIdHeader, retryMs, message, isClosing: this.context.isDraining(),
 			});
 		}
 
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -25,6 +25,18 @@
 	/** Peer addresses that a starting VM queries before it knows live peers. */
 	seeds: z.array(address),
 	store: z.object({address}),
+	/** Limits on answers of backend servers; a connection whose answer exceeds them is closed. The time of an answer is limited by the deadline of its request. */
+	answers: z.object({
+		/** Longest head of an answer, in bytes. */
+		maxHeadBytes: z.number().int().positive().default(16_384),
+		/** Longest body of an answer, in bytes. */
+		maxBodyBytes: z.number().int().positive().default(67_108_864),
+	}).prefault({}),
+	/** Limits on bodies of callers' requests besides those of the configuration. */
+	uploads: z.object({
+		/** Memory for buffered bodies of all requests, in bytes; beyond it, bodies are streamed and their requests are not retried. */
+		maxBufferedBytes: z.number().int().positive().default(33_554_432),
+	}).prefault({}),
 	bounds: z.object({
 		/** Longest time from SIGTERM to the end of the process, in milliseconds. */
 		graceMs: z.number().positive(),
--- a/packages/gateway/src/testing/fake-backend-server.ts
+++ b/packages/gateway/src/testing/fake-backend-server.ts
@@ -1,3 +1,4 @@
+import {type Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {
 	createServer, type AddressInfo, type Server, type Socket,
@@ -28,6 +29,10 @@
 export class FakeBackendServer {
 	readonly requests: ReceivedRequest[] = [];
 	closedConnections = 0;
+	/** Called with the head of each request before its body has arrived. */
+	onHead: (socket: Socket, head: string) => void = () => undefined;
+	/** Whether new connections are read at all. */
+	isReading = true;
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
 
@@ -35,10 +40,24 @@
 		this.#server = createServer(socket => {
 			this.#sockets.add(socket);
 			let data = '';
-			socket.on('data', chunk => {
+			let isHeadSeen = false;
+			const onData = (chunk: Buffer) => {
 				data += chunk.toString('latin1');
-				data = this.#read(socket, data);
-			});
+				const end = data.indexOf('\r\n\r\n');
+				if (end !== -1 && !isHeadSeen) {
+					isHeadSeen = true;
+					this.onHead(socket, data.slice(0, end));
+				}
+
+				const rest = this.#read(socket, data);
+				isHeadSeen &&= rest.length === data.length;
+				data = rest;
+			};
+
+			if (this.isReading) {
+				socket.on('data', onData);
+			}
+
 			socket.on('error', () => {
 				socket.destroy();
 			});
--- a/packages/gateway/src/testing/fixtures.ts
+++ b/packages/gateway/src/testing/fixtures.ts
@@ -83,14 +83,17 @@
 
 	readAnswer(status: number, headers: HeaderMap): AnswerFields {
 		const cold = firstValue(headers['test-cold']);
+		const [running, waiting] = firstValue(headers['test-load'])?.split(',').map(Number) ?? [];
 		return {
 			id: firstValue(headers['test-id']),
 			isNotRun: headers['test-not-run'] !== undefined,
 			isMisdirected: status === 421,
 			isProven: headers['test-proof'] !== undefined,
-			load: undefined,
+			load: running === undefined ? undefined : {running, waiting},
 			server: firstValue(headers['test-instance']),
 			coldForMs: cold === undefined ? undefined : Number(cold),
+			isLeaving: headers['test-leaving'] !== undefined,
+			pauseMs: status === 503 && headers['test-pause'] !== undefined ? Number(firstValue(headers['test-pause'])) : undefined,
 		};
 	}
 }
--- a/packages/gateway/src/testing/memory-collection-store.ts
+++ b/packages/gateway/src/testing/memory-collection-store.ts
@@ -80,6 +80,11 @@
 		});
 	}
 
+	/** Value of a record; undefined if it does not exist. */
+	recordValue(collection: Collection, name: string): unknown {
+		return this.#records.get(collection)!.get(name)?.value;
+	}
+
 	/** Removes a record as the platform or an operator would, without recording a call. */
 	unset(collection: Collection, name: string): void {
 		const record = this.#records.get(collection)!.get(name);
