--- a/packages/gateway/src/forward/backend-feedback.ts
+++ b/packages/gateway/src/forward/backend-feedback.ts
@@ -1,5 +1,6 @@
 import {type Backend} from '../placement/backend.js';
-import {LeavingSource, type Placer} from '../placement/placer.js';
+import {LeavingSource} from '../placement/backend-statements.js';
+import {type Placer} from '../placement/placer.js';
 import {type BackendAttempt} from './backend-attempt.js';
 import {type AnswerFields} from './header-dialect.js';
 
@@ -25,11 +26,11 @@
 	}
 
 	if (answer.isLeaving) {
-		placer.markLeaving(serverStart, LeavingSource.answer);
+		placer.statements.markLeaving(serverStart, LeavingSource.answer);
 	}
 
 	if (answer.pauseMs !== undefined) {
-		placer.markPausing(serverStart, answer.pauseMs);
+		placer.statements.markPausing(serverStart, answer.pauseMs);
 	}
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,7 +18,8 @@
 import {PeerClient} from './peers/peer-client.js';
 import {PeerTable} from './peers/peer-table.js';
 import {Registration} from './peers/registration.js';
-import {LeavingSource, Placer} from './placement/placer.js';
+import {LeavingSource} from './placement/backend-statements.js';
+import {Placer} from './placement/placer.js';
 import {type ShiftedFractions} from './placement/region-plan.js';
 import {Prober} from './placement/prober.js';
 import {RegionalDemand, SlotDemandMeter, type SlotDemand} from './placement/slot-demand-meter.js';
@@ -121,7 +122,7 @@
 				this.#limiter.applyReports(heartbeat.record.vm, heartbeat.incarnation, heartbeat.buckets);
 			},
 			onLeaving: (start, peerAddress) => {
-				this.#placer.markLeaving(start, LeavingSource.peer, peerAddress);
+				this.#placer.statements.markLeaving(start, LeavingSource.peer, peerAddress);
 			},
 		});
 		this.#registration = new Registration({
--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -2,13 +2,14 @@
 import {ConnectionPool} from '@fescuewick/entry/http';
 import {coldAllowancePerS} from '../limits/cold-allowance.js';
 import {Backend, ConditionEvent} from './backend.js';
+import {BackendStatements} from './backend-statements.js';
 import {
 	chooseByAffinity, chooseLeastLoaded, type Candidate, type ChoiceReason,
 } from './choose-backend.js';
 import {
 	RegionPlan, type ShiftedFractions, type RegionPlanOptions, type ServerLoad,
 } from './region-plan.js';
-import {ServerStatements, type ServerStart} from './server-statements.js';
+import {type ServerStart} from './server-statements.js';
 import {SpilloverLimiter} from './spillover-limiter.js';
 import {type RegionalDemand} from './slot-demand-meter.js';
 
@@ -19,9 +20,6 @@
 /** Fraction of the limit on shifts between regions that may be used by spillover, requests that find no capacity in their region. */
 const spilloverFraction = 0.25;
 
-/** Longest pause that a server gets from one answer, in milliseconds; protects the service from servers that ask for more by mistake. */
-const maxPauseMs = 300_000;
-
 /** Limits on placement. */
 export type PlacementBounds = {
 	/** Maximum fraction of a region's requests that may change the region between two windows. */
@@ -58,16 +56,6 @@
 	notAdmitted = 'not-admitted',
 }
 
-/** Where a server said that it is leaving. */
-export enum LeavingSource {
-	/** In its answer to a request of this VM. */
-	answer = 'answer',
-	/** In its answer to a probe of this VM. */
-	probe = 'probe',
-	/** In its answer to a peer. */
-	peer = 'peer',
-}
-
 type PlacerOptions = Omit<RegionPlanOptions, 'bounds'> & {
 	readonly regionOf: (failureDomain: string) => string | undefined;
 	readonly bounds: () => PlacementBounds;
@@ -90,11 +78,13 @@
 	readonly #byService = new Map<string, Backend[]>();
 	readonly #cachedOrders = new Map<string, string[]>();
 	readonly #spilloverLimiters = new Map<string, SpilloverLimiter>();
-	readonly #statements = new ServerStatements();
+	/** What servers said about themselves. */
+	readonly statements: BackendStatements;
 	readonly #plan: RegionPlan;
 
 	constructor(private readonly options: PlacerOptions) {
 		this.#plan = new RegionPlan(options);
+		this.statements = new BackendStatements({...options, backendOf: id => this.#backends.get(id)});
 		options.state.events.on('backends', () => {
 			this.#syncBackends();
 		});
@@ -299,13 +289,13 @@
 			const region = regionOf(known.record.failureDomain);
 			if (backend !== undefined) {
 				backend.update(known);
-				this.#applyStatements(backend);
+				this.statements.apply(backend);
 			} else if (region === undefined) {
 				logger.warn({event: 'backend-ignored', server: id, failureDomain: known.record.failureDomain}, 'backend server ignored: its failure domain belongs to no known region');
 			} else {
 				const created = new Backend(known, region, this.#connect(known.record.address, known.record.service));
 				this.#backends.set(id, created);
-				this.#applyStatements(created);
+				this.statements.apply(created);
 			}
 		}
 
@@ -340,45 +330,6 @@
 		}
 	}
 
-	/** Stops sending to a server that said that it is leaving, until it starts again. */
-	markLeaving(start: ServerStart, source: LeavingSource, peerAddress?: string): void {
-		if (!this.#statements.addLeaving(start)) {
-			return;
-		}
-
-		const backend = this.#backends.get(start.id);
-		this.options.logger.info({
-			event: 'backend-leaving', server: start.id, startedAtMs: start.startedAtMs, service: backend?.record.service, source, peerAddress,
-		}, 'backend server says that it is leaving');
-		if (source !== LeavingSource.peer) {
-			this.options.onLeaving(start);
-		}
-
-		if (backend !== undefined) {
-			this.#applyStatements(backend);
-		}
-	}
-
-	/** Sends nothing to a server for the pause that it asked for, at most `maxPauseMs`. */
-	markPausing(start: ServerStart, pauseMs: number): void {
-		const {timers, logger} = this.options;
-		const nowMs = timers.nowMs();
-		const appliedMs = Math.min(pauseMs, maxPauseMs);
-		const untilMs = nowMs + appliedMs;
-		if (appliedMs <= 0 || untilMs <= this.#statements.pausedUntilMs(start)) {
-			return;
-		}
-
-		this.#statements.addPause(start, untilMs);
-		const backend = this.#backends.get(start.id);
-		logger.info({
-			event: 'backend-pausing', server: start.id, service: backend?.record.service, pauseMs, appliedMs,
-		}, 'backend server asks for a pause');
-		if (backend !== undefined) {
-			this.#applyStatements(backend);
-		}
-	}
-
 	/** Time until the first pause ends of a server that would otherwise be usable, in milliseconds; undefined if none asks for a pause. */
 	pauseMs(service: string, homeRegions: readonly string[] | undefined): number | undefined {
 		const ends = (this.#byService.get(service) ?? [])
@@ -387,24 +338,6 @@
 		return ends.length === 0 ? undefined : Math.max(0, Math.min(...ends) - this.options.timers.nowMs());
 	}
 
-	/** Applies what a server said about its present start to its condition. */
-	#applyStatements(backend: Backend): void {
-		const {timers, onSlotAvailable} = this.options;
-		if (this.#statements.isLeaving(backend.start) && backend.apply(ConditionEvent.saidLeaving)) {
-			backend.connections.closeIdle();
-		}
-
-		const pausedUntilMs = this.#statements.pausedUntilMs(backend.start);
-		const nowMs = timers.nowMs();
-		if (pausedUntilMs > nowMs && pausedUntilMs > backend.pausedUntilMs) {
-			backend.pause(pausedUntilMs);
-			timers.after(pausedUntilMs - nowMs, () => {
-				backend.endPause(pausedUntilMs);
-				onSlotAvailable();
-			});
-		}
-	}
-
 	/** Marks a server as replaced when another server answered at its address. */
 	markReplaced(backend: Backend): void {
 		if (backend.apply(ConditionEvent.misdirected)) {
--- a/packages/gateway/src/placement/prober.ts
+++ b/packages/gateway/src/placement/prober.ts
@@ -2,7 +2,8 @@
 import {type Cancel, type Logger, type TimerService} from '@fescuewick/core';
 import {type HeaderDialect} from '../forward/header-dialect.js';
 import {type Backend, ConditionEvent} from './backend.js';
-import {LeavingSource, type Placer} from './placer.js';
+import {LeavingSource} from './backend-statements.js';
+import {type Placer} from './placer.js';
 
 /** Probe interval of unreachable servers; each probe has a cost, and a server rarely recovers sooner. */
 const probeIntervalMs = 1000;
@@ -54,9 +55,9 @@
 			if (server !== undefined && server !== backend.id) {
 				placer.markReplaced(backend);
 			} else if (isLeaving) {
-				placer.markLeaving(serverStart, LeavingSource.probe);
+				placer.statements.markLeaving(serverStart, LeavingSource.probe);
 			} else if (pauseMs !== undefined) {
-				placer.markPausing(serverStart, pauseMs);
+				placer.statements.markPausing(serverStart, pauseMs);
 			} else if (response.statusCode === 200) {
 				backend.markCold(coldForMs ?? 0, timers.nowMs());
 				backend.apply(ConditionEvent.probeSucceeded);
