Bound the list of reports that a token bucket remembers

Cause: while a peer was silent or new, reports were added each second and none removed, so the list grew for as long as peers came and went.

--- a/packages/gateway/src/limits/shared-token-bucket.ts
+++ b/packages/gateway/src/limits/shared-token-bucket.ts
@@ -54,7 +54,7 @@
 	#memberCount = 1;
 	/** Admission times of requests that peers may not know of yet. */
 	readonly #unpropagated: number[] = [];
-	/** When reports were sent to all peers that may not have reached them yet. */
+	/** When reports were sent to all peers within the longest propagation time. */
 	#reportsAtMs: number[] = [];
 	/** When a peer was silent, unknown or restarted last. */
 	#disturbedAtMs: number;
@@ -174,7 +174,8 @@
 
 	/** Records that a report was sent to all peers. */
 	recordReport(nowMs: number): void {
-		this.#reportsAtMs.push(nowMs);
+		// Older reports say no more than the longest propagation time.
+		this.#reportsAtMs = [...this.#reportsAtMs.filter(atMs => atMs > nowMs - propagationMs), nowMs];
 	}
 
 	/** Demand over all VMs in requests per second; `askedPerS` is that of this VM. */
@@ -205,16 +206,13 @@
 		return (equalShare * equalShareFraction) + ((1 - equalShareFraction) * knownShare * askedPerS / totalPerS);
 	}
 
-	/** When the last report was sent that has reached the peers; minus infinity if none is remembered, or if peers were silent, unknown or restarted not long ago and may not have got it. */
+	/** When the last report was sent that has reached the peers; minus infinity if there was none, or if peers were silent, unknown or restarted not long ago and may not have got it. */
 	#lastDeliveredReportMs(nowMs: number): number {
 		if (nowMs - this.#disturbedAtMs < settleMs) {
 			return Number.NEGATIVE_INFINITY;
 		}
 
-		const delivered = this.#reportsAtMs.filter(atMs => atMs <= nowMs - deliveryMs);
-		// The last delivered report is kept, because requests admitted before it may be advanced over later.
-		this.#reportsAtMs = this.#reportsAtMs.slice(Math.max(0, delivered.length - 1));
-		return delivered.at(-1) ?? Number.NEGATIVE_INFINITY;
+		return this.#reportsAtMs.findLast(atMs => atMs <= nowMs - deliveryMs) ?? Number.NEGATIVE_INFINITY;
 	}
 
 	#advance(nowMs: number): void {
