Measure and log delays of the gateway's event loop

Callers that left are answered late or served in vain when a VM is short of processor time. The log could not tell that from a close that the gateway missed: no line and no metric said that nothing was read for a while.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import {type ShiftedFractions} from './placement/region-plan.js';
 import {Prober} from './placement/prober.js';
 import {RegionalDemand, SlotDemandMeter, type SlotDemand} from './placement/slot-demand-meter.js';
+import {EventLoopDelay} from './server/event-loop-delay.js';
 import {registerGauges} from './server/gauges.js';
 import {applyLimits, createFrontServer, stopFrontServer} from './server/front-server.js';
 import {RequestHandler} from './server/request-handler.js';
@@ -44,8 +45,8 @@
 const usedBudgetFraction = 0.75;
 /** Time after a store outage in which removed entries may have expired, in milliseconds. */
 const expiryWindowMs = 3000;
-/** Interval of the check for silent peers, in milliseconds. */
-const expiryIntervalMs = 250;
+/** Interval of the checks for silent peers and for delays of the event loop, in milliseconds. */
+const checkIntervalMs = 250;
 /** Longest time that a starting VM waits for its replicas before it listens anyway, in milliseconds. */
 const maxStartWaitMs = 1500;
 /** Interval at which the fractions of requests that run in other regions are adjusted, in milliseconds. */
@@ -229,8 +230,12 @@
 		}
 
 		this.#registration.start();
+		const eventLoopDelay = new EventLoopDelay({
+			metrics: this.#metrics, timers, logger, intervalMs: checkIntervalMs,
+		});
 		this.#cancels.push(
-			timers.repeat(expiryIntervalMs, () => {
+			timers.repeat(checkIntervalMs, () => {
+				eventLoopDelay.check();
 				this.#peers.expire();
 				this.#readerRole.update();
 			}),
