Send no request to a server before the closes of callers that have arrived are read

Cause: while a VM reads nothing, a caller gives up, and its request and its close wait in the socket together. Node.js reports the request first and the end of the connection a turn of the event loop later. The gateway sent the request in the turn in which it had read it. The same holds for a request that leaves the queue, or goes to a second server, in the turn in which its caller's close arrives.

Change: CloseBarrier holds a read request until all sockets were read once more and drops it if its caller has left; queued requests, second and hedged attempts pass it too. A request whose time is over when its turn comes is refused at once. A stopping VM also waits for requests that were read and not admitted yet.

--- a/packages/gateway/src/forward/forwarded-request.test.ts
+++ b/packages/gateway/src/forward/forwarded-request.test.ts
@@ -8,6 +8,7 @@
 import {ChoiceReason} from '../placement/choose-backend.js';
 import {PlacementFailure, type Placer} from '../placement/placer.js';
 import {SlotDemandMeter} from '../placement/slot-demand-meter.js';
+import {CloseBarrier} from '../server/close-barrier.js';
 import {backendRecord, route, TestDialect} from '../testing/fixtures.js';
 import {RetryBudgets, type ForwardingContext} from './forwarding-context.js';
 import {type AdmittedRequest} from './admitted-request.js';
@@ -16,7 +17,14 @@
 
 function createRequests(onAcquire: (queues: RequestQueues) => void) {
 	const timers = new ManualTimerService();
-	const queues = new RequestQueues();
+	const closeBarrier = new CloseBarrier({
+		timers, atEndOfTurn(callback) {
+			callback();
+		},
+	});
+	const queues = new RequestQueues(callback => {
+		closeBarrier.run(callback);
+	});
 	const sent: string[] = [];
 	let isFull = true;
 	const connections = {
@@ -47,6 +55,7 @@
 		} as unknown as Placer,
 		limiter: new WorkspaceLimiter('a1', timers, () => ({overshoot: 0, slackCount: 0, windowMs: 1000})),
 		queues,
+		closeBarrier,
 		retryBudgets: new RetryBudgets(timers, {windowMs: 10_000, fraction: 0.2, minCount: () => 10}),
 		latency: new RouteLatency(),
 		slotDemandMeter: new SlotDemandMeter(),
--- a/packages/gateway/src/forward/forwarded-request.ts
+++ b/packages/gateway/src/forward/forwarded-request.ts
@@ -64,7 +64,7 @@
 		return this.admitted.arrivedAtMs;
 	}
 
-	/** Sends or queues the request; to be called once. */
+	/** Sends, queues or refuses the request; to be called once. */
 	start(): void {
 		const {response, deadlineAtMs, service} = this.admitted;
 		const {timers, queues, slotDemandMeter} = this.context;
@@ -78,6 +78,11 @@
 		this.#cancels.push(timers.after(deadlineAtMs - timers.nowMs(), () => {
 			this.#onDeadline();
 		}));
+		if (this.#timeLeftMs <= 0) {
+			this.#onDeadline();
+			return;
+		}
+
 		// A new request does not overtake queued ones.
 		if (queues.of(service).countAhead(this.priority) > 0 || !this.#tryPlace()) {
 			this.#enqueue();
@@ -179,22 +184,28 @@
 
 	/** Schedules a hedged attempt at a second server for a repeatable request, in case the first has not started to answer by then. */
 	#scheduleHedge(attempt: BackendAttempt): void {
-		const {timers} = this.context;
+		const {timers, closeBarrier} = this.context;
 		this.#cancels.push(timers.after(Math.max(minHedgeDelayMs, this.#expectedMs * hedgeDelayFactor), () => {
-			const isSilent = this.#openAttempts.has(attempt) && attempt.exchange.head === undefined;
-			if (this.#isFinished || !isSilent || this.#openAttempts.count > 1) {
-				return;
-			}
-
-			attempt.backend.recordOutcome(true, undefined, timers.nowMs());
-			const placement = this.#requestPlacement.find();
-			// Without a second server the first attempt goes on.
-			if (typeof placement !== 'string' && this.#allowsRetry(FailureKind.unknown)) {
-				this.#send(placement);
-			}
+			closeBarrier.run(() => {
+				this.#hedge(attempt);
+			});
 		}));
 	}
 
+	#hedge(attempt: BackendAttempt): void {
+		const isSilent = this.#openAttempts.has(attempt) && attempt.exchange.head === undefined;
+		if (this.#isFinished || !isSilent || this.#openAttempts.count > 1) {
+			return;
+		}
+
+		attempt.backend.recordOutcome(true, undefined, this.context.timers.nowMs());
+		const placement = this.#requestPlacement.find();
+		// Without a second server the first attempt goes on.
+		if (typeof placement !== 'string' && this.#allowsRetry(FailureKind.unknown)) {
+			this.#send(placement);
+		}
+	}
+
 	/** Receives a chunk of an answer. */
 	onData(attempt: BackendAttempt, chunk: Buffer): boolean {
 		return this.#answerRelay.receive(attempt, chunk);
@@ -306,13 +317,17 @@
 	}
 
 	#retry(): void {
-		if (!this.#tryPlace()) {
+		this.context.closeBarrier.run(() => {
+			if (this.#isFinished || this.#tryPlace()) {
+				return;
+			}
+
 			if (this.#possibleRuns > 0) {
 				this.#fail(ResultCode.backendCut, 'no other server has a free slot');
 			} else {
 				this.#enqueue();
 			}
-		}
+		});
 	}
 
 	/** Passes a buffered answer on to the caller and ends the request. */
--- a/packages/gateway/src/forward/forwarding-context.ts
+++ b/packages/gateway/src/forward/forwarding-context.ts
@@ -4,6 +4,7 @@
 import {type WorkspaceLimiter} from '../limits/workspace-limiter.js';
 import {type SlotDemandMeter} from '../placement/slot-demand-meter.js';
 import {type Placer} from '../placement/placer.js';
+import {type CloseBarrier} from '../server/close-barrier.js';
 import {type HeaderDialect} from './header-dialect.js';
 import {type RouteLatency} from './route-latency.js';
 
@@ -35,6 +36,8 @@
 	readonly placer: Placer;
 	readonly limiter: WorkspaceLimiter;
 	readonly queues: RequestQueues;
+	/** Requests are sent to servers only behind it. */
+	readonly closeBarrier: CloseBarrier;
 	readonly retryBudgets: RetryBudgets;
 	readonly latency: RouteLatency;
 	readonly slotDemandMeter: SlotDemandMeter;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import {Prober} from './placement/prober.js';
 import {RegionalDemand, SlotDemandMeter, type SlotDemand} from './placement/slot-demand-meter.js';
 import {EventLoopDelay} from './server/event-loop-delay.js';
+import {CloseBarrier} from './server/close-barrier.js';
 import {registerGauges} from './server/gauges.js';
 import {applyLimits, createFrontServer, stopFrontServer} from './server/front-server.js';
 import {RequestHandler} from './server/request-handler.js';
@@ -78,7 +79,8 @@
 	readonly #followers: Record<string, StoreFollower>;
 	readonly #readerRole: StoreReaderRole;
 	readonly #limiter: WorkspaceLimiter;
-	readonly #queues = new RequestQueues();
+	readonly #closeBarrier: CloseBarrier;
+	readonly #queues: RequestQueues;
 	readonly #slotDemandMeter = new SlotDemandMeter();
 	readonly #latency = new RouteLatency();
 	readonly #placer: Placer;
@@ -102,6 +104,10 @@
 			...location, entryAddress: listen.entry, peerAddress: listen.peers, heartbeatAddress: listen.heartbeats,
 		};
 		this.#incarnation = Math.floor(random() * (2 ** 31));
+		this.#closeBarrier = new CloseBarrier({timers, atEndOfTurn: setImmediate});
+		this.#queues = new RequestQueues(callback => {
+			this.#closeBarrier.run(callback);
+		});
 		this.#metrics = new Metrics({vm: location.vm});
 		this.#breaker = new StoreCircuitBreaker({timers, logger, random});
 		this.#state = new FleetState({
@@ -351,6 +357,7 @@
 			placer: this.#placer,
 			limiter: this.#limiter,
 			queues: this.#queues,
+			closeBarrier: this.#closeBarrier,
 			retryBudgets: new RetryBudgets(timers, {
 				windowMs: retryWindowMs,
 				fraction: retryRatio * usedBudgetFraction,
--- a/packages/gateway/src/server/front-server.ts
+++ b/packages/gateway/src/server/front-server.ts
@@ -31,11 +31,11 @@
 		keepAliveTimeout: initialLimits.idleTimeoutMs + timeoutMarginMs,
 		noDelay: true,
 	}, (request, response) => {
-		void handler.handle(request, response);
+		handler.handle(request, response);
 	});
 	// Without a listener, callers are told to send their bodies before their requests are admitted.
 	server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
-		void handler.handle(request, response);
+		handler.handle(request, response);
 	});
 	server.on('clientError', (error: Error & {code?: string}, socket) => {
 		if (error.code === 'ECONNRESET' || !socket.writable) {
@@ -62,7 +62,7 @@
 	handler.isRefusing = true;
 	await timers.sleep(Math.min(listenAfterStopMs - acceptAfterStopMs, graceMs / 4));
 	await stopListening(server);
-	while (handler.activeRequests.size > 0 && timers.nowMs() - startedAtMs < graceMs * abandonGraceFraction) {
+	while (handler.unansweredCount > 0 && timers.nowMs() - startedAtMs < graceMs * abandonGraceFraction) {
 		await timers.sleep(idleCheckIntervalMs);
 	}
 
--- a/packages/gateway/src/server/request-handler.ts
+++ b/packages/gateway/src/server/request-handler.ts
@@ -12,6 +12,7 @@
 import {type ConfigurationIndex, type Route, type Workspace} from '../model/configuration.js';
 import {WeightedRoundRobin} from '../placement/weighted-round-robin.js';
 import {type GatewaySettings} from '../settings.js';
+import {hasCallerLeft} from './close-barrier.js';
 
 /** Bodies up to this size are buffered, so that requests can be retried. */
 const maxReplayBytes = 262_144;
@@ -23,6 +24,10 @@
 type UploadLimits = GatewaySettings['uploads'];
 type RequestRefusal = {readonly code: ResultCode; readonly retryMs?: number; readonly message?: string; readonly workspace?: string};
 type RequestAdmission = {readonly route: Route; readonly workspace: Workspace | undefined};
+/** A request whose head was read. */
+type ReadRequest = {readonly request: IncomingMessage; readonly response: ServerResponse; readonly fields: RequestFields; readonly arrivedAtMs: number};
+
+const callerLeftRefusal: RequestRefusal = {code: ResultCode.callerLeft, message: 'the caller closed its connection before the request was handled'};
 
 /** Admits or refuses callers' requests and forwards the admitted ones. */
 export class RequestHandler {
@@ -32,46 +37,85 @@
 	isRefusing = false;
 	readonly #bodyMemory: BodyBufferBudget;
 	readonly #serviceTurns = new WeakMap<Route, WeightedRoundRobin>();
+	/** Requests that were read and neither admitted nor refused yet. */
+	#unadmitted = 0;
 	#sequence = 0;
 
 	constructor(private readonly context: ForwardingContext, private readonly configuration: () => ConfigurationIndex | undefined, {maxBufferedBytes}: UploadLimits) {
 		this.#bodyMemory = new BodyBufferBudget(maxBufferedBytes);
 	}
 
+	/** Requests that were read and have no complete answer. */
+	get unansweredCount(): number {
+		return this.#unadmitted + this.activeRequests.size;
+	}
+
 	/** Memory reserved for buffered bodies, in bytes. */
 	get bufferedBytes(): number {
 		return this.#bodyMemory.usedBytes;
 	}
 
-	/** Handles one request. */
-	async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const {timers, dialect} = this.context;
+	/** Handles one request, unless its caller turns out to have left before it was read. */
+	handle(request: IncomingMessage, response: ServerResponse): void {
+		const {closeBarrier, dialect, timers} = this.context;
 		const arrivedAtMs = timers.nowMs();
-		const fields = dialect.readRequest(request.headers);
+		this.#unadmitted++;
+		closeBarrier.run(() => {
+			const readRequest = {
+				request, response, arrivedAtMs, fields: dialect.readRequest(request.headers),
+			};
+			if (hasCallerLeft(request.socket)) {
+				this.#refuse(readRequest, callerLeftRefusal);
+			} else {
+				void this.#admitAndForward(readRequest);
+			}
+		});
+	}
+
+	async #admitAndForward(readRequest: ReadRequest): Promise<void> {
+		const {request, response, fields} = readRequest;
 		const admission = this.#admit(request, fields);
 		if ('code' in admission) {
-			this.#refuse(request, response, fields, admission);
+			this.#refuse(readRequest, admission);
+			return;
+		}
+
+		if (!hasBody(request)) {
+			this.#forward(readRequest, admission, noBody);
 			return;
 		}
 
-		const {route, workspace} = admission;
 		const {limits} = this.configuration()!.configuration;
-		const timeoutMs = requestTimeoutMs(route, fields);
 		try {
-			const body = hasBody(request) ? await this.#readBody(request, response, {maxBodyBytes: limits.maxBodyBytes, bodyTimeMs: timeoutMs}) : noBody;
-			const id = fields.id ?? this.#newId();
+			const body = await this.#readBody(request, response, {maxBodyBytes: limits.maxBodyBytes, bodyTimeMs: requestTimeoutMs(admission.route, fields)});
+			// A body that arrives late may have the close of its caller behind it too.
+			this.context.closeBarrier.run(() => {
+				this.#forward(readRequest, admission, body);
+			});
+		} catch (error) {
+			const {code, message} = toFescuewickError(error);
+			this.#refuseAdmitted(readRequest, admission, {code, message});
+		}
+	}
+
+	#forward(readRequest: ReadRequest, admission: RequestAdmission, body: RequestBody): void {
+		const {request, fields, arrivedAtMs} = readRequest;
+		const {route} = admission;
+		if (hasCallerLeft(request.socket)) {
+			this.#refuseAdmitted(readRequest, admission, callerLeftRefusal);
+			return;
+		}
+
+		try {
 			const forwardedRequest = new ForwardedRequest(this.context, {
-				request, response, fields, id, route, workspace, service: this.#serviceOf(route), body, arrivedAtMs, deadlineAtMs: arrivedAtMs + timeoutMs,
+				...readRequest, ...admission, id: fields.id ?? this.#newId(), service: this.#serviceOf(route), body, deadlineAtMs: arrivedAtMs + requestTimeoutMs(route, fields),
 			});
 			this.activeRequests.add(forwardedRequest);
+			this.#unadmitted--;
 			forwardedRequest.start();
 		} catch (error) {
 			const {code, message} = toFescuewickError(error);
-			if (workspace !== undefined) {
-				this.context.limiter.refund(workspace.name);
-			}
-
-			this.#refuse(request, response, fields, {code, message});
+			this.#refuseAdmitted(readRequest, admission, {code, message});
 		}
 	}
 
@@ -146,9 +190,19 @@
 		return {route, workspace};
 	}
 
-	#refuse(request: IncomingMessage, response: ServerResponse, fields: RequestFields, refusal: RequestRefusal): void {
+	/** Refuses a request that was admitted, and returns its token. */
+	#refuseAdmitted(readRequest: ReadRequest, {workspace}: RequestAdmission, refusal: RequestRefusal): void {
+		if (workspace !== undefined) {
+			this.context.limiter.refund(workspace.name);
+		}
+
+		this.#refuse(readRequest, refusal);
+	}
+
+	#refuse({request, response, fields, arrivedAtMs}: ReadRequest, refusal: RequestRefusal): void {
 		const {code, retryMs, message} = refusal;
-		if (!response.headersSent && !response.destroyed) {
+		this.#unadmitted--;
+		if (code !== ResultCode.callerLeft && !response.headersSent && !response.destroyed) {
 			sendError({
 				request, response, timers: this.context.timers, code, id: fields.id, idHeader: this.context.dialect.requestIdHeader, retryMs, message, isClosing: this.context.isDraining(),
 			});
@@ -158,9 +212,9 @@
 			id: fields.id,
 			code,
 			outcome: resultCodeName(code),
-			status: response.statusCode,
+			status: response.headersSent ? response.statusCode : undefined,
 			reason: message,
-			durationMs: 0,
+			durationMs: Math.round(this.context.timers.nowMs() - arrivedAtMs),
 			attempts: 0,
 			path: code === ResultCode.noRoute ? request.url : undefined,
 			configuration: this.context.configurationVersion(),
