Send a server no more requests than the limit that it names

Change: the adapter reads it. The limit is divided among as many VMs of the server's region as it allows requests a second; each has a bucket that is empty at first, and the others send to other servers. Answers to this VM name and end a limit, datagrams tell the region, and a limit without news is forgotten after 30 s. Regions' demand and estimates of waits count what limited servers take. A queued request is tried again when a part is free.

Ruled out as a remainder: VMs that take the limit for their own (shares add up to the limit, property test) and VMs that learn of it late (peer test).

--- a/packages/gateway/src/forward/backend-feedback.ts
+++ b/packages/gateway/src/forward/backend-feedback.ts
@@ -1,5 +1,5 @@
 import {type Backend} from '../placement/backend.js';
-import {LeavingSource} from '../placement/backend-statements.js';
+import {StatementSource} from '../placement/backend-statements.js';
 import {type Placer} from '../placement/placer.js';
 import {type BackendAttempt} from './backend-attempt.js';
 import {type AnswerFields} from './header-dialect.js';
@@ -16,22 +16,28 @@
 }
 
 /**
-Records that a server says in an answer that it is leaving or asks for a pause.
+Records that a server says in an answer that it is leaving, asks for a pause, or names a limit on its requests.
 
 Only an answer to the request itself counts: a copy of an earlier answer, or the answer of another server at the same address, says nothing about this start of the server.
 */
-export function recordStatements({backend, serverStart}: Pick<BackendAttempt, 'backend' | 'serverStart'>, answer: AnswerFields, {requestId, placer}: {readonly requestId: string; readonly placer: Placer}): void {
+export function recordStatements({backend, serverStart, sentAtMs}: Pick<BackendAttempt, 'backend' | 'serverStart' | 'sentAtMs'>, answer: AnswerFields, {requestId, placer}: {readonly requestId: string; readonly placer: Placer}): void {
 	if (answer.id !== requestId || answer.isMisdirected || (answer.server !== undefined && answer.server !== backend.id)) {
 		return;
 	}
 
 	if (answer.isLeaving) {
-		placer.statements.markLeaving(serverStart, LeavingSource.answer);
+		placer.statements.markLeaving(serverStart, StatementSource.answer);
 	}
 
 	if (answer.pauseMs !== undefined) {
 		placer.statements.markPausing(serverStart, answer.pauseMs);
 	}
+
+	if (answer.limit?.perS !== undefined) {
+		placer.statements.markLimited(serverStart, answer.limit.perS, StatementSource.answer);
+	} else if (answer.limit === undefined && answer.isProven) {
+		placer.statements.markUnlimited(serverStart, StatementSource.answer, sentAtMs);
+	}
 }
 
 /** Records that a server did not run a request; returns the reason for the request's log line. */
--- a/packages/gateway/src/forward/forwarded-request.ts
+++ b/packages/gateway/src/forward/forwarded-request.ts
@@ -171,10 +171,7 @@
 		}
 
 		this.#attempts++;
-		if (backend.isCold(nowMs)) {
-			backend.coldRequests.add(nowMs);
-		}
-
+		backend.recordSent(nowMs);
 		this.#openAttempts.add(attempt);
 		transmit(attempt, this.admitted, this.context, this.#timeLeftMs);
 		if (this.admitted.route.isRepeatable && isReplayable(this.admitted)) {
--- a/packages/gateway/src/forward/header-dialect.ts
+++ b/packages/gateway/src/forward/header-dialect.ts
@@ -23,6 +23,12 @@
 	readonly server: string;
 };
 
+/** A server's limit on its requests. */
+export type NamedLimit = {
+	/** Requests a second that it takes from all VMs together; undefined if the value cannot be read. */
+	readonly perS: number | undefined;
+};
+
 /** Contents of the headers of a backend server's answer. */
 export type AnswerFields = {
 	/** Id of the request that it answers; undefined if the header is missing. */
@@ -41,6 +47,8 @@
 	readonly isLeaving: boolean;
 	/** How long the server wants no requests from this VM, in milliseconds; undefined if it does not say so. */
 	readonly pauseMs: number | undefined;
+	/** The limit that the server names; undefined if it names none. */
+	readonly limit: NamedLimit | undefined;
 };
 
 /** Headers by lower-case name. */
--- a/packages/gateway/src/forward/request-summary.ts
+++ b/packages/gateway/src/forward/request-summary.ts
@@ -35,6 +35,7 @@
 		placed: placement?.reason,
 		load: placement && Math.round(placement.load * 10) / 10,
 		isRemote: placement?.isRemote,
+		serverLimitPerS: placement?.limitPerS,
 		expectedMs: Math.round(end.expectedMs),
 		configuration: configurationVersion(),
 	};
--- a/packages/gateway/src/forward/slot-wait.ts
+++ b/packages/gateway/src/forward/slot-wait.ts
@@ -8,10 +8,11 @@
 /** Longest time that a request may wait for a slot, in milliseconds; 0 or less if it cannot be served before its deadline. */
 export function slotWaitLimitMs({service, route, arrivedAtMs, deadlineAtMs}: AdmittedRequest, {queues, placer, latency, timers}: ForwardingContext, priority: number, expectedMs: number): number {
 	const nowMs = timers.nowMs();
+	const serviceMs = latency.typicalMs(service, route.targetMs / 2);
 	return maxQueueWaitMs({
 		ahead: queues.of(service).countAhead(priority),
-		slots: placer.slotsInRegion(service),
-		serviceMs: latency.typicalMs(service, route.targetMs / 2),
+		slots: placer.slotsInRegion(service, serviceMs),
+		serviceMs,
 		expectedMs,
 		targetMs: Math.max(0, route.targetMs - (nowMs - arrivedAtMs)),
 		timeLeftMs: deadlineAtMs - nowMs,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,7 +18,8 @@
 import {PeerClient} from './peers/peer-client.js';
 import {PeerTable} from './peers/peer-table.js';
 import {Registration} from './peers/registration.js';
-import {LeavingSource} from './placement/backend-statements.js';
+import {ServerNoticeKind, type ServerNotice} from './peers/server-notice.js';
+import {StatementSource} from './placement/backend-statements.js';
 import {Placer} from './placement/placer.js';
 import {type ShiftedFractions} from './placement/region-plan.js';
 import {Prober} from './placement/prober.js';
@@ -128,8 +129,8 @@
 				this.#replicaSync.onHeartbeat(heartbeat);
 				this.#limiter.applyReports(heartbeat.record.vm, heartbeat.incarnation, heartbeat.buckets);
 			},
-			onLeaving: (start, peerAddress) => {
-				this.#placer.statements.markLeaving(start, LeavingSource.peer, peerAddress);
+			onServerNotice: (notice, peerAddress) => {
+				this.#applyNotice(notice, peerAddress);
 			},
 		});
 		this.#registration = new Registration({
@@ -169,8 +170,12 @@
 			vm: location.vm,
 			limitSharersIn: name => this.#peers.limitSharersIn(name),
 			maxAnswerHeadBytes: settings.answers.maxHeadBytes,
+			typicalMs: service => this.#latency.typicalMs(service, initialDurationMs),
 			onLeaving: start => {
-				this.#gossip.announceLeaving(start);
+				this.#gossip.announce({kind: ServerNoticeKind.leaving, start});
+			},
+			onLimit: (start, limitPerS) => {
+				this.#gossip.announce({kind: ServerNoticeKind.limit, start, limitPerS});
 			},
 			onSlotAvailable: () => {
 				this.#queues.retryAllQueuedRequests();
@@ -305,6 +310,18 @@
 		logger.info({event: 'stopped'}, 'gateway stopped');
 	}
 
+	/** Takes over what a server said to a peer. */
+	#applyNotice(notice: ServerNotice, peerAddress: string): void {
+		const {statements} = this.#placer;
+		if (notice.kind === ServerNoticeKind.leaving) {
+			statements.markLeaving(notice.start, StatementSource.peer, peerAddress);
+		} else if (notice.limitPerS === undefined) {
+			statements.markUnlimited(notice.start, StatementSource.peer);
+		} else {
+			statements.markLimited(notice.start, notice.limitPerS, StatementSource.peer);
+		}
+	}
+
 	/** Fractions that another VM of this region shifts to other regions; a VM that has just started adopts them. */
 	#shiftedFractionsOfRegion(): ShiftedFractions | undefined {
 		for (const {record, shiftedFractions} of this.#peers.alive()) {
--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -3,8 +3,6 @@
 import {once} from 'node:events';
 import {type Cancel, type Logger, type TimerService} from '@fescuewick/core';
 import {splitAddress} from '@fescuewick/wire';
-import {type ServerStart} from '../placement/server-statements.js';
-import {decodeLeavingNotice, encodeLeavingNotice} from './leaving-notice.js';
 import {
 	decodeHeartbeat, encodeHeartbeat, type Heartbeat,
 } from './heartbeat.js';
@@ -12,6 +10,7 @@
 	isFullHeartbeat, isLargeRegion, HeartbeatScope, recipients,
 } from './heartbeat-recipients.js';
 import {type PeerTable} from './peer-table.js';
+import {decodeServerNotice, encodeServerNotice, type ServerNotice} from './server-notice.js';
 
 /** Interval of heartbeats, in milliseconds; inside a small region, a VM that the store refuses learns of a change within one interval. */
 const heartbeatIntervalMs = 500;
@@ -27,8 +26,8 @@
 	readonly createHeartbeat: (isFull: boolean, scope: HeartbeatScope) => Omit<Heartbeat, 'sequence'>;
 	/** Called for each heartbeat that is newer than the last one of its VM. */
 	readonly onHeartbeat: (heartbeat: Heartbeat) => void;
-	/** Called when a peer says that a backend server is leaving. */
-	readonly onLeaving: (start: ServerStart, peerAddress: string) => void;
+	/** Called when a peer says what a backend server said to it. */
+	readonly onServerNotice: (notice: ServerNotice, peerAddress: string) => void;
 };
 
 /** Sends heartbeats to all known VMs, receives theirs and relays them; owns the UDP socket. */
@@ -68,9 +67,9 @@
 		this.#forward(encodeHeartbeat({...createHeartbeat(isFull, scope), sequence: this.#sequence}), this.#sequence, scope);
 	}
 
-	/** Tells the VMs of the region that a backend server says that it is leaving. A lost notice is not repeated: those VMs learn it from an answer of the server. */
-	announceLeaving(start: ServerStart): void {
-		this.#forward(encodeLeavingNotice(start), this.#sequence, HeartbeatScope.region);
+	/** Tells the VMs of the region what a backend server said. A lost notice is not repeated here: those VMs learn it from an answer of the server. */
+	announce(notice: ServerNotice): void {
+		this.#forward(encodeServerNotice(notice), this.#sequence, HeartbeatScope.region);
 	}
 
 	stop(): void {
@@ -79,12 +78,12 @@
 	}
 
 	#receive(datagram: Buffer, address: string): void {
-		const {table, logger, onHeartbeat, onLeaving} = this.options;
+		const {table, logger, onHeartbeat, onServerNotice} = this.options;
 		const content = datagram.subarray(1);
 		const scope: HeartbeatScope = datagram[0];
-		const leaving = decodeLeavingNotice(content);
-		if (leaving !== undefined) {
-			onLeaving(leaving, address);
+		const notice = decodeServerNotice(content);
+		if (notice !== undefined) {
+			onServerNotice(notice, address);
 			this.#relay(content, this.#sequence, scope);
 			return;
 		}
--- a/packages/gateway/src/placement/backend.ts
+++ b/packages/gateway/src/placement/backend.ts
@@ -1,11 +1,12 @@
 import {nextState, type Chart} from '@fescuewick/core';
 import {type ConnectionPool} from '@fescuewick/entry/http';
 import {OneSecondCounter} from '../limits/cold-allowance.js';
+import {LimitAllowance, type LimitShare} from '../limits/server-limit.js';
 import {BackendState, type BackendRecord} from '../model/records.js';
 import {type KnownBackend} from '../state/fleet-state.js';
 import chart from './backend-condition.chart.json' with {type: 'json'};
 import {PeerLoadEstimator} from './peer-load-estimator.js';
-import {type ServerStart} from './server-statements.js';
+import {limitTtlMs, type ServerLimit, type ServerStart} from './server-statements.js';
 
 /** Events that change the condition of a backend server. */
 export enum ConditionEvent {
@@ -36,6 +37,8 @@
 	replaced = 'replaced',
 	/** It tolerates only a limited rate of requests, as after its start. */
 	cold = 'cold',
+	/** It names a limit on the requests that it takes from all VMs. */
+	limited = 'limited',
 	/** It answers, but so slowly or with so many failures that others are preferred. */
 	grey = 'grey',
 }
@@ -56,6 +59,8 @@
 const latencyRatioWeight = 0.25;
 /** A slow server is tried again when its last latency sample is older than this. */
 const latencyRatioTtlMs = 2500;
+/** Least slots of a server with a limit; keeps ratios of requests to slots finite. */
+const minUsableSlots = 0.1;
 /** How long a server counts as full after it shed a request. */
 const shedBackoffMs = 150;
 
@@ -64,6 +69,8 @@
 	inFlight = 0;
 	/** Requests sent to it in the last second while it was cold. */
 	readonly coldRequests = new OneSecondCounter();
+	#limit: ServerLimit | undefined;
+	#limitAllowance: LimitAllowance | undefined;
 	#known: KnownBackend;
 	#state = Condition.ready;
 	#pausedUntilMs = Number.NEGATIVE_INFINITY;
@@ -113,6 +120,10 @@
 			return Condition.cold;
 		}
 
+		if (this.limitPerS(nowMs) !== undefined) {
+			return Condition.limited;
+		}
+
 		return this.isDeprioritized(nowMs) ? Condition.grey : Condition.ready;
 	}
 
@@ -188,6 +199,38 @@
 		return nowMs < this.#coldUntilMs;
 	}
 
+	/** Applies the limit that it named; undefined if it has none. */
+	setLimit(limit: ServerLimit | undefined, nowMs: number): void {
+		this.#limit = limit;
+		this.#limitAllowance = limit === undefined ? undefined : this.#limitAllowance ?? new LimitAllowance(nowMs);
+	}
+
+	/** Requests a second that it takes from all VMs together; undefined without a limit, or if none was named for a while. */
+	limitPerS(nowMs: number): number | undefined {
+		return this.#limit !== undefined && nowMs - this.#limit.confirmedAtMs < limitTtlMs ? this.#limit.perS : undefined;
+	}
+
+	/** Time until its limit lets this VM send a request, in milliseconds; 0 without a limit. `shareOf` returns this VM's part of a limit. */
+	limitWaitMs(nowMs: number, shareOf: (limitPerS: number) => LimitShare): number {
+		const limitPerS = this.limitPerS(nowMs);
+		return limitPerS === undefined ? 0 : this.#limitAllowance!.waitMs(nowMs, shareOf(limitPerS));
+	}
+
+	/** Requests that it can run at once if each takes `serviceMs`: its slots, or fewer if its limit keeps it from filling them. */
+	usableSlots(nowMs: number, serviceMs: number): number {
+		const limitPerS = this.limitPerS(nowMs);
+		return limitPerS === undefined ? this.slots : Math.min(this.slots, Math.max(minUsableSlots, limitPerS * serviceMs / 1000));
+	}
+
+	/** Counts a request that is sent to it against the limits that it has now. */
+	recordSent(nowMs: number): void {
+		if (this.isCold(nowMs)) {
+			this.coldRequests.add(nowMs);
+		}
+
+		this.#limitAllowance?.take();
+	}
+
 	/** Estimated requests at the server: those of this VM, and those of other VMs as estimated from its reports. `senderCount` returns the number of VMs that send to it. */
 	load(nowMs: number, senderCount: () => number): number {
 		if (nowMs < this.#fullUntilMs) {
--- a/packages/gateway/src/placement/placer.test.ts
+++ b/packages/gateway/src/placement/placer.test.ts
@@ -30,7 +30,9 @@
 		limitSharersIn: () => ['a1', 'a2'],
 		maxAnswerHeadBytes: 16_384,
 		onSlotAvailable: () => undefined,
+		typicalMs: () => 400,
 		onLeaving: () => undefined,
+		onLimit: () => undefined,
 	});
 	handlers.get('backends')!();
 	return placer;
--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -1,6 +1,7 @@
 import {hashFraction, rendezvousOrder} from '@fescuewick/core';
 import {ConnectionPool} from '@fescuewick/entry/http';
 import {coldAllowancePerS} from '../limits/cold-allowance.js';
+import {serverLimitShare, SharerRanks, type LimitShare} from '../limits/server-limit.js';
 import {Backend, ConditionEvent} from './backend.js';
 import {BackendStatements} from './backend-statements.js';
 import {
@@ -20,6 +21,9 @@
 /** Fraction of the limit on shifts between regions that may be used by spillover, requests that find no capacity in their region. */
 const spilloverFraction = 0.25;
 
+/** Shortest time after which queued requests are retried because a limit allows another request, in milliseconds. */
+const minLimitRetryMs = 50;
+
 /** Limits on placement. */
 export type PlacementBounds = {
 	/** Maximum fraction of a region's requests that may change the region between two windows. */
@@ -44,7 +48,14 @@
 };
 
 /** The chosen server for a request. */
-export type Placement = {readonly backend: Backend; readonly reason: ChoiceReason; readonly load: number; readonly isRemote: boolean};
+export type Placement = {
+	readonly backend: Backend;
+	readonly reason: ChoiceReason;
+	readonly load: number;
+	readonly isRemote: boolean;
+	/** Limit that the server named, in requests a second from all VMs; undefined without one. */
+	readonly limitPerS: number | undefined;
+};
 
 /** Why no server was chosen. */
 export enum PlacementFailure {
@@ -66,8 +77,12 @@
 	readonly maxAnswerHeadBytes: number;
 	/** Called when a server may have capacity again. */
 	readonly onSlotAvailable: () => void;
+	/** Typical time that a request occupies a slot of the service, in milliseconds. */
+	readonly typicalMs: (service: string) => number;
 	/** Called when an answer to this VM said that a server is leaving. */
 	readonly onLeaving: (start: ServerStart) => void;
+	/** Called when an answer to this VM named a limit that the VMs of the region may not know, or none any more (undefined). */
+	readonly onLimit: (start: ServerStart, limitPerS: number | undefined) => void;
 };
 
 type BackendCandidate = Candidate & {readonly backend: Backend};
@@ -78,12 +93,15 @@
 	readonly #byService = new Map<string, Backend[]>();
 	readonly #cachedOrders = new Map<string, string[]>();
 	readonly #spilloverLimiters = new Map<string, SpilloverLimiter>();
+	readonly #sharerRanks: SharerRanks;
+	#isLimitRetryScheduled = false;
 	/** What servers said about themselves. */
 	readonly statements: BackendStatements;
 	readonly #plan: RegionPlan;
 
 	constructor(private readonly options: PlacerOptions) {
 		this.#plan = new RegionPlan(options);
+		this.#sharerRanks = new SharerRanks(options.vm);
 		this.statements = new BackendStatements({...options, backendOf: id => this.#backends.get(id)});
 		options.state.events.on('backends', () => {
 			this.#syncBackends();
@@ -104,9 +122,10 @@
 		return this.#backends.values();
 	}
 
-	/** Total slots of the usable servers of a service in this region. */
-	slotsInRegion(service: string): number {
-		return this.#usable(service).reduce((sum, backend) => sum + (backend.region === this.options.region ? backend.slots : 0), 0);
+	/** Total slots of the usable servers of a service in this region, as far as their limits let requests of `serviceMs` fill them. */
+	slotsInRegion(service: string, serviceMs: number): number {
+		const nowMs = this.options.timers.nowMs();
+		return this.#usable(service).reduce((sum, backend) => sum + (backend.region === this.options.region ? backend.usableSlots(nowMs, serviceMs) : 0), 0);
 	}
 
 	/** The region assigned to a request of this VM's callers; `random`, in [0, 1), is used for requests without an affinity key. */
@@ -122,7 +141,7 @@
 			const loads = new Map<string, ServerLoad>();
 			for (const backend of this.#usable(service)) {
 				const {slots, requests} = loads.get(backend.region) ?? {slots: 0, requests: 0};
-				loads.set(backend.region, {slots: slots + backend.slots, requests: requests + backend.load(nowMs, () => this.#senderCountOf(backend))});
+				loads.set(backend.region, {slots: slots + backend.usableSlots(nowMs, this.options.typicalMs(service)), requests: requests + backend.load(nowMs, () => this.#senderCountOf(backend))});
 			}
 
 			this.#plan.update(service, {
@@ -166,6 +185,7 @@
 		const maySpillOver = local.length === 0 || limiter.hasCredit;
 		const remote = maySpillOver ? this.#choose(admitted.filter(backend => backend.region !== region), request) : undefined;
 		if (remote === undefined) {
+			this.#scheduleLimitRetry(admitted);
 			return PlacementFailure.full;
 		}
 
@@ -181,7 +201,9 @@
 		const choice = affinityKey === undefined
 			? chooseLeastLoaded(backends.map(backend => this.#candidateOf(backend, nowMs)))
 			: chooseByAffinity(this.#candidatesInOrder(backends, this.#orderOf(service, affinityKey), nowMs));
-		return choice && {backend: choice.server.backend, reason: choice.reason, load: choice.server.load};
+		return choice && {
+			backend: choice.server.backend, reason: choice.reason, load: choice.server.load, limitPerS: choice.server.backend.limitPerS(nowMs),
+		};
 	}
 
 	/** Evaluates the servers lazily, because a request usually goes to the first of hundreds. */
@@ -202,10 +224,35 @@
 			load: backend.load(nowMs, () => this.#senderCountOf(backend)),
 			slots: backend.slots,
 			isDeprioritized: backend.isDeprioritized(nowMs),
-			canAccept: backend.connections.canAcquire() && (!backend.isCold(nowMs) || this.#canAcceptCold(backend, nowMs)),
+			canAccept: backend.connections.canAcquire() && (!backend.isCold(nowMs) || this.#canAcceptCold(backend, nowMs)) && this.#limitWaitMs(backend, nowMs) === 0,
 		};
 	}
 
+	/** Time until the limit of a server lets this VM send a request, in milliseconds; 0 without a limit. */
+	#limitWaitMs(backend: Backend, nowMs: number): number {
+		return backend.limitWaitMs(nowMs, limitPerS => this.#limitShareOf(backend, limitPerS));
+	}
+
+	/** This VM's part of a server's limit. Only VMs of its region have one, so that they can divide the limit among themselves. */
+	#limitShareOf({id, region}: Backend, limitPerS: number): LimitShare {
+		const sharers = this.options.limitSharersIn(region);
+		return serverLimitShare({limitPerS, rank: this.#sharerRanks.rankOf(id, sharers), sharers: sharers.length});
+	}
+
+	/** Reports a slot as available once the limit of one of these servers lets this VM send again. */
+	#scheduleLimitRetry(backends: readonly Backend[]): void {
+		const {timers, onSlotAvailable} = this.options;
+		const nowMs = timers.nowMs();
+		const waitMs = Math.min(...backends.map(backend => this.#limitWaitMs(backend, nowMs)).filter(ms => ms > 0));
+		if (Number.isFinite(waitMs) && !this.#isLimitRetryScheduled) {
+			this.#isLimitRetryScheduled = true;
+			timers.after(Math.max(waitMs, minLimitRetryMs), () => {
+				this.#isLimitRetryScheduled = false;
+				onSlotAvailable();
+			});
+		}
+	}
+
 	/** Number of VMs assumed to send to a server before its load is known: those of its region, which most of its callers use, and this one. */
 	#senderCountOf({region}: Backend): number {
 		return this.options.limitSharersIn(region).length + (region === this.options.region ? 0 : 1);
@@ -279,6 +326,7 @@
 			const known = state.backends.get(id);
 			if (known?.record.address !== backend.record.address || known.record.service !== backend.record.service) {
 				this.#backends.delete(id);
+				this.#sharerRanks.delete(id);
 				// In-flight requests keep their connections; the pool closes each one when it is returned.
 				backend.connections.closeIdle();
 			}
--- a/packages/gateway/src/placement/prober.ts
+++ b/packages/gateway/src/placement/prober.ts
@@ -2,7 +2,7 @@
 import {type Cancel, type Logger, type TimerService} from '@fescuewick/core';
 import {type HeaderDialect} from '../forward/header-dialect.js';
 import {type Backend, ConditionEvent} from './backend.js';
-import {LeavingSource} from './backend-statements.js';
+import {StatementSource} from './backend-statements.js';
 import {type Placer} from './placer.js';
 
 /** Probe interval of unreachable servers; each probe has a cost, and a server rarely recovers sooner. */
@@ -51,14 +51,18 @@
 		try {
 			const response = await request(`http://${address}${healthPathOf(service) ?? '/'}`, {dispatcher, signal: AbortSignal.timeout(probeTimeoutMs), reset: true});
 			await response.body.dump();
-			const {server, coldForMs, isLeaving, pauseMs} = dialect.readAnswer(response.statusCode, response.headers);
+			const {server, coldForMs, isLeaving, pauseMs, limit} = dialect.readAnswer(response.statusCode, response.headers);
 			if (server !== undefined && server !== backend.id) {
 				placer.markReplaced(backend);
 			} else if (isLeaving) {
-				placer.statements.markLeaving(serverStart, LeavingSource.probe);
+				placer.statements.markLeaving(serverStart, StatementSource.probe);
 			} else if (pauseMs !== undefined) {
 				placer.statements.markPausing(serverStart, pauseMs);
 			} else if (response.statusCode === 200) {
+				if (limit?.perS !== undefined) {
+					placer.statements.markLimited(serverStart, limit.perS, StatementSource.probe);
+				}
+
 				backend.markCold(coldForMs ?? 0, timers.nowMs());
 				backend.apply(ConditionEvent.probeSucceeded);
 				logger.info({event: 'backend-up', server: backend.id, coldForMs}, 'backend server is reachable again');
--- a/packages/gateway/src/placement/server-statements.ts
+++ b/packages/gateway/src/placement/server-statements.ts
@@ -8,7 +8,22 @@
 /** Starts of servers whose statements are remembered; the oldest is forgotten first. */
 const maxStarts = 4096;
 
-type Statement = {isLeaving: boolean; pausedUntilMs: number};
+/** A limit that no answer named for this time is forgotten, in milliseconds; a VM without a share gets no answers and learns from its peers. */
+export const limitTtlMs = 30_000;
+
+/** A limit that a server named, and when this VM learned of it, in the time of the timer service. */
+export type ServerLimit = {
+	/** Requests a second from all VMs together. */
+	readonly perS: number;
+	/** When this VM first learned that the server has a limit. */
+	readonly sinceMs: number;
+	/** When an answer to this VM or to a peer last named it. */
+	readonly confirmedAtMs: number;
+	/** What the VMs of the region were last told, by this VM or by a peer. */
+	readonly announced: {readonly perS: number; readonly atMs: number};
+};
+
+type Statement = {isLeaving: boolean; pausedUntilMs: number; limit: ServerLimit | undefined};
 
 /** What backend servers said about themselves, by their start; kept while their entries are missing from the store, since an entry that expired during an outage comes back. */
 export class ServerStatements {
@@ -28,6 +43,17 @@
 		statement.pausedUntilMs = Math.max(statement.pausedUntilMs, untilMs);
 	}
 
+	/** Records the limit that a server has, or that it has none any more. */
+	setLimit(start: ServerStart, limit: ServerLimit | undefined): void {
+		if (limit !== undefined || this.#byStart.has(keyOf(start))) {
+			this.#of(start).limit = limit;
+		}
+	}
+
+	limit(start: ServerStart): ServerLimit | undefined {
+		return this.#byStart.get(keyOf(start))?.limit;
+	}
+
 	isLeaving(start: ServerStart): boolean {
 		return this.#byStart.get(keyOf(start))?.isLeaving ?? false;
 	}
@@ -46,7 +72,7 @@
 				this.#byStart.delete(oldest);
 			}
 
-			statement = {isLeaving: false, pausedUntilMs: Number.NEGATIVE_INFINITY};
+			statement = {isLeaving: false, pausedUntilMs: Number.NEGATIVE_INFINITY, limit: undefined};
 			this.#byStart.set(key, statement);
 		}
 
--- a/packages/gateway/src/testing/fixtures.ts
+++ b/packages/gateway/src/testing/fixtures.ts
@@ -57,6 +57,10 @@
 	return Array.isArray(value) ? value[0] : value;
 }
 
+function finiteNumber(text: string | undefined): number | undefined {
+	return Number.isFinite(Number(text)) ? Number(text) : undefined;
+}
+
 /** Header dialect of the tests' callers and servers. */
 export class TestDialect extends HeaderDialect {
 	get requestIdHeader(): string {
@@ -93,6 +97,7 @@
 			server: firstValue(headers['test-instance']),
 			coldForMs: cold === undefined ? undefined : Number(cold),
 			isLeaving: headers['test-leaving'] !== undefined,
+			limit: headers['test-limit'] === undefined ? undefined : {perS: finiteNumber(firstValue(headers['test-limit']))},
 			pauseMs: status === 503 && headers['test-pause'] !== undefined ? Number(firstValue(headers['test-pause'])) : undefined,
 		};
 	}
