Ignore entries of servers and VMs that name no address, and survive errors of a request

Cause: the adapter took any digits for a port. Opening a connection to such an address throws, and from a retry or the queue the error reached nobody and ended the process.

Change: an address is an IP address and a port from 1 to 65,535, for servers and VMs alike. An error of held work on a request is logged as request-error, and the process lives on.

--- a/packages/gateway/src/forward/forwarded-request.test.ts
+++ b/packages/gateway/src/forward/forwarded-request.test.ts
@@ -20,6 +20,8 @@
 	const closeBarrier = new CloseBarrier({
 		timers, atEndOfTurn(callback) {
 			callback();
+		}, onError(error) {
+			throw error;
 		},
 	});
 	const queues = new RequestQueues(callback => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -105,7 +105,11 @@
 			...location, entryAddress: listen.entry, peerAddress: listen.peers, heartbeatAddress: listen.heartbeats,
 		};
 		this.#incarnation = Math.floor(random() * (2 ** 31));
-		this.#closeBarrier = new CloseBarrier({timers, atEndOfTurn: setImmediate});
+		this.#closeBarrier = new CloseBarrier({
+			timers, atEndOfTurn: setImmediate, onError(error) {
+				logger.error({event: 'request-error', err: error}, 'work on a request failed unexpectedly');
+			},
+		});
 		this.#queues = new RequestQueues(callback => {
 			this.#closeBarrier.run(callback);
 		});
--- a/packages/gateway/src/model/records.ts
+++ b/packages/gateway/src/model/records.ts
@@ -1,3 +1,5 @@
+import {isIPv4, isIPv6} from 'node:net';
+
 /** Whether a backend server accepts new requests. */
 export enum BackendState {
 	ready = 'ready',
@@ -20,7 +22,7 @@
 	readonly startedAtMs: number;
 };
 
-const addressPattern = /^\[?[\d.:a-fA-F]+]?:(\d{1,5})$/;
+const addressPattern = /^(?:(?<ipv4>[\d.]+)|\[(?<ipv6>[\da-fA-F:.]+)]):(?<port>\d{1,5})$/;
 const maxPort = 65_535;
 
 /** Whether a value is a complete record of a VM; other versions and faulty VMs may send anything. */
@@ -33,9 +35,16 @@
 	return [vm, failureDomain, region].every(name => typeof name === 'string') && [entryAddress, peerAddress, heartbeatAddress].every(address => isAddress(address));
 }
 
-function isAddress(value: unknown): boolean {
-	const port = typeof value === 'string' ? Number(addressPattern.exec(value)?.[1]) : 0;
-	return port > 0 && port <= maxPort;
+/** Whether a value is an IP address and a port to which a connection can be opened, as `ip:port`. */
+export function isAddress(value: unknown): value is string {
+	const groups = typeof value === 'string' ? addressPattern.exec(value)?.groups : undefined;
+	if (groups === undefined) {
+		return false;
+	}
+
+	const port = Number(groups.port);
+	const isIp = groups.ipv4 === undefined ? isIPv6(groups.ipv6) : isIPv4(groups.ipv4);
+	return isIp && port > 0 && port <= maxPort;
 }
 
 /** A VM of the system and the addresses of its interfaces, as `ip:port`. */
--- a/packages/gateway/src/server/close-barrier.test.ts
+++ b/packages/gateway/src/server/close-barrier.test.ts
@@ -5,9 +5,12 @@
 function createBarrier() {
 	const timers = new ManualTimerService();
 	const pending: Array<() => void> = [];
+	const errors: unknown[] = [];
 	const barrier = new CloseBarrier({
 		timers, atEndOfTurn(callback) {
 			pending.push(callback);
+		}, onError(error) {
+			errors.push(error);
 		},
 	});
 	const endTurn = () => {
@@ -16,7 +19,9 @@
 		}
 	};
 
-	return {timers, barrier, endTurn};
+	return {
+		timers, barrier, errors, endTurn,
+	};
 }
 
 test('work runs in order at the end of the turn after the next reading of all sockets', t => {
@@ -56,3 +61,17 @@
 
 	t.is(runs, 100);
 });
+
+test('work that fails is reported, and the work behind it runs', t => {
+	// Guards against a process that ends because of one request.
+	const {barrier, errors, endTurn} = createBarrier();
+	const ran: string[] = [];
+	barrier.run(() => {
+		throw new Error('a');
+	});
+	barrier.run(() => ran.push('b'));
+	endTurn();
+	endTurn();
+	t.deepEqual(ran, ['b']);
+	t.is((errors[0] as Error).message, 'a');
+});
--- a/packages/gateway/src/server/close-barrier.ts
+++ b/packages/gateway/src/server/close-barrier.ts
@@ -15,6 +15,8 @@
 	readonly timers: TimerService;
 	/** Runs a callback at the end of the present turn of the event loop, or of the next one if this turn is ending. */
 	readonly atEndOfTurn: (callback: () => void) => void;
+	/** Called with an error of held work; the process lives on, and the work's request ends at its deadline. */
+	readonly onError: (error: unknown) => void;
 };
 
 /**
@@ -55,11 +57,19 @@
 		this.#turn++;
 		const startedAtMs = timers.nowMs();
 		while (this.#held.length > 0 && this.#turn - this.#held[0].turn >= heldTurns && timers.nowMs() - startedAtMs < maxTurnMs) {
-			this.#held.shift()!.work();
+			this.#runOne(this.#held.shift()!.work);
 		}
 
 		if (this.#held.length > 0) {
 			this.#schedule();
 		}
 	}
+
+	#runOne(work: () => void): void {
+		try {
+			work();
+		} catch (error) {
+			this.options.onError(error);
+		}
+	}
 }
