Test answers cut in the head and requests that come late in a planned stop

An answer that is cut at any byte of its head, by a close or a reset, on a new or a kept connection, is a failure (502): could not happen here.

--- a/packages/gateway/src/broken-servers.test.ts
+++ b/packages/gateway/src/broken-servers.test.ts
@@ -194,3 +194,45 @@
 	t.true(process.memoryUsage().arrayBuffers - before < 50_000_000);
 	await response.body?.cancel();
 });
+
+/** Complete answers, each with the length of its head. */
+const wholeAnswers: Record<string, (request: Parameters<RequestListener>[1]) => {readonly head: string; readonly body: string}> = {
+	'with a length': request => ({head: headOf(request, 'content-length: 2'), body: 'ok'}),
+	'that ends with its connection': request => ({head: headOf(request, 'connection: close'), body: 'ok'}),
+	'in chunks': request => ({head: headOf(request, 'transfer-encoding: chunked'), body: '2\r\nok\r\n0\r\n\r\n'}),
+	'after an informational one': request => ({head: `HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n${headOf(request, 'connection: close')}`, body: 'ok'}),
+};
+
+for (const [kind, answerOf] of Object.entries(wholeAnswers)) {
+	test(`an answer ${kind} whose server stops in the middle of the head is no success`, async t => {
+		// Guards against a 200 with an empty or short body for an answer of which only a part of the head arrived.
+		let cutAt = 0;
+		let isReset = false;
+		let headLength = 1;
+		const {call} = await startWith(t, (socket, request) => {
+			if (request.head.startsWith('GET')) {
+				answerOk(socket, request);
+				return;
+			}
+
+			const {head, body} = answerOf(request);
+			headLength = head.length;
+			const part = (head + body).slice(0, cutAt);
+			if (isReset) {
+				socket.write(part, () => {
+					socket.resetAndDestroy();
+				});
+			} else {
+				socket.end(part);
+			}
+		});
+		for (; cutAt < headLength; cutAt += 5) {
+			for (isReset of [false, true]) {
+				// Every other order goes out on a connection that has carried an answer.
+				t.is(isReset ? await statusOf(call('/check/1')) : 200, 200);
+				const response = await call('/reserve/1', {method: 'POST', body: 'x', headers: {'test-id': 'r-7'}});
+				t.is(response.status, 502, `cut after ${cutAt} bytes, ${isReset ? 'reset' : 'closed'}`);
+			}
+		}
+	});
+}
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -352,3 +352,40 @@
 	await gateway.stop();
 	t.is(await statusOf(running), 502);
 });
+
+test.serial('requests that come late in a planned stop are refused or answered, and never cut after they were sent to a server', async t => {
+	// Guards against orders that are taken at the end of the grace time and broken off when it is over.
+	const store = storeWith(configuration(1));
+	const server = await addBackend(t, store, {
+		id: 's1', slots: 100, onRequest(socket, request) {
+			setTimeout(() => {
+				answerOk(socket, request);
+			}, request.head.includes('/reserve/slow') ? 2000 : 100);
+		},
+	});
+	const {gateway, call} = await startGateway({store, bounds: {graceMs: 4000}});
+	const outcomes = new Map<string, number | undefined>();
+	const order = async (id: string, path = '/reserve/1') => {
+		try {
+			outcomes.set(id, await statusOf(call(path, {method: 'POST', body: 'x', headers: {'test-id': id}})));
+		} catch {
+			outcomes.set(id, undefined);
+		}
+	};
+
+	await order('first');
+	const stopped = gateway.stop();
+	const pending: Array<Promise<void>> = [];
+	for (let index = 0; index < 200; index++) {
+		// The slow one is taken just before requests are refused, and keeps the process until late in the grace time.
+		pending.push(order(`r-${index}`, index === 90 ? '/reserve/slow' : undefined));
+		await sleep(20);
+	}
+
+	await Promise.all([stopped, ...pending]);
+	const sent = server.requests.map(request => headerOf(request, 'test-id'));
+	t.deepEqual(sent.filter(id => outcomes.get(id) !== 200 && outcomes.get(id) !== 502), []);
+	t.deepEqual(sent.filter(id => outcomes.get(id) === 502).filter(id => id !== 'r-90'), []);
+	t.true([...outcomes].some(([id, status]) => status === 503 && !sent.includes(id)));
+	t.true([...outcomes.values()].filter(status => status === 200).length > 50);
+});
