Cancel a pipelined request when its caller leaves

What callers and servers saw: a server went on working on a request that had been sent behind another one on a connection which its caller had closed.

Cause: the gateway listened for the end of the response. Node.js ends a response with its connection only once the response has the connection, which that of a pipelined request has not while the one before is unanswered.

Change: requests listen for the end of the connection itself.

The test fails on the code before (1 of 2 connections closed).

--- a/packages/gateway/src/departed-callers.test.ts
+++ b/packages/gateway/src/departed-callers.test.ts
@@ -116,3 +116,16 @@
 	t.is(servers[0].requests.length + servers[1].requests.length, 1);
 	t.true(hasCallerLeft());
 });
+
+test.serial('a request that waits behind another one on its connection is cancelled when the caller leaves', async t => {
+	// Guards against a server that works on a pipelined request for a caller that has left.
+	const {servers: [server], connectCaller} = await startWithServers(t);
+	server.onRequest = () => undefined;
+	const caller = await connectCaller();
+	caller.write(repeatableText + repeatableText);
+	await waitUntil(() => server.requests.length === 2);
+	const closedBefore = server.closedConnections;
+	caller.destroy();
+	await sleep(settleMs);
+	t.is(server.closedConnections - closedBefore, 2);
+});
--- a/packages/gateway/src/forward/forwarded-request.test.ts
+++ b/packages/gateway/src/forward/forwarded-request.test.ts
@@ -69,7 +69,7 @@
 	const start = (path: string) => {
 		const admitted = {
 			request: {
-				rawHeaders: [], headers: {host: 'shop.test'}, method: 'POST', url: path,
+				rawHeaders: [], headers: {host: 'shop.test'}, method: 'POST', url: path, socket: new PassThrough(),
 			},
 			response: new PassThrough(),
 			fields: {},
--- a/packages/gateway/src/forward/forwarded-request.ts
+++ b/packages/gateway/src/forward/forwarded-request.ts
@@ -66,16 +66,19 @@
 
 	/** Sends, queues or refuses the request; to be called once. */
 	start(): void {
-		const {response, deadlineAtMs, service} = this.admitted;
+		const {request: {socket}, deadlineAtMs, service} = this.admitted;
 		const {timers, queues, slotDemandMeter} = this.context;
 		slotDemandMeter.recordArrival(service, this.#requestPlacement.boundRegion);
 		this.#requestPlacement.chooseRegion();
-		response.once('close', () => {
-			if (!response.writableFinished) {
-				this.#onCallerClosed();
-			}
-		});
-		this.#cancels.push(timers.after(deadlineAtMs - timers.nowMs(), () => {
+		const onClose = () => {
+			this.#onCallerClosed();
+		};
+
+		// The response of a request that waits behind another one on its connection has no event for the end of the connection.
+		socket.once('close', onClose);
+		this.#cancels.push(() => {
+			socket.off('close', onClose);
+		}, timers.after(deadlineAtMs - timers.nowMs(), () => {
 			this.#onDeadline();
 		}));
 		if (this.#timeLeftMs <= 0) {
--- a/packages/gateway/src/server/front-server.ts
+++ b/packages/gateway/src/server/front-server.ts
@@ -33,6 +33,10 @@
 	}, (request, response) => {
 		handler.handle(request, response);
 	});
+	server.on('connection', socket => {
+		// Each request that waits behind another one on a connection listens for its end.
+		socket.setMaxListeners(0);
+	});
 	// Without a listener, callers are told to send their bodies before their requests are admitted.
 	server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
 		handler.handle(request, response);
