Hold the entry daemon's requests until closes are read, as in the gateway

The same cause as in the gateway, looked for in the product's own daemons: the entry daemon sent a request in the turn of the event loop in which it had read it, and read the close behind it a turn later.

Change: CloseBarrier moves to the parts that entry and gateway share. A request passes it before it is admitted, and again when it leaves the queue; the lease of a slot is returned if the caller has left by then. The gateway also looks at the connection itself before each placement, since the event for its end comes later than the end is known.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -14,6 +14,7 @@
 import {RateWaiter} from './request/rate-waiter.js';
 import {RequestHandler} from './request/request-handler.js';
 import {createAdminServer} from './server/admin-server.js';
+import {CloseBarrier} from './server/close-barrier.js';
 import {EntryMetrics} from './server/entry-metrics.js';
 import {closeFrontServer, createFrontServer} from './server/front-server.js';
 import {LoadReporter} from './server/load-reporter.js';
@@ -133,6 +134,11 @@
 		this.#claims = new OrderClaims(this.#control, timers, logger, limits.claimMs);
 		const handler = new RequestHandler({
 			timers,
+			closeBarrier: new CloseBarrier({
+				timers, atEndOfTurn: setImmediate, onError(error) {
+					logger.error({err: error}, 'work on a request failed unexpectedly');
+				},
+			}),
 			logger,
 			limits,
 			view: this.#view,
--- a/packages/entry/src/request/request-handler.ts
+++ b/packages/entry/src/request/request-handler.ts
@@ -12,6 +12,7 @@
 import {type EntryMetrics} from '../server/entry-metrics.js';
 import {type ServiceRegistry} from '../server/service-registry.js';
 import {type EntryLimits} from '../settings.js';
+import {hasCallerLeft, type CloseBarrier} from '../server/close-barrier.js';
 import {type FleetView} from '../view/fleet-view.js';
 import {type RouteMatch} from '../view/route-table.js';
 import {AnswerRecorder} from './answer-recorder.js';
@@ -33,6 +34,8 @@
 /** Dependencies of the request handler. */
 export type RequestContext = {
 	readonly timers: TimerService;
+	/** Requests are sent to servers only behind it. */
+	readonly closeBarrier: CloseBarrier;
 	readonly logger: Logger;
 	readonly limits: EntryLimits;
 	readonly view: FleetView;
@@ -66,12 +69,26 @@
 		this.#decisionLogger = context.logger.child({}, {redact: ['key', 'authorization', 'idempotencyKey']});
 	}
 
-	/** Handles one request until it has ended; never rejects. */
+	/** Handles one request until it has ended, unless its caller turns out to have left before it was read; never rejects. */
 	async handle(request: IncomingMessage, response: ServerResponse, expectsContinue = false): Promise<void> {
-		const {timers, inFlight, incarnation, closing} = this.context;
+		const {closeBarrier, timers, inFlight, incarnation, closing} = this.context;
 		const exchange = new Exchange(request, response, {id: `${incarnation}.${(this.#nextId++).toString(36)}`, arrivedAtMs: timers.nowMs(), closing});
 		inFlight.add(exchange);
+		return new Promise(resolve => {
+			closeBarrier.run(() => {
+				resolve(this.#runToEnd(exchange, expectsContinue));
+			});
+		});
+	}
+
+	async #runToEnd(exchange: Exchange, expectsContinue: boolean): Promise<void> {
+		const {inFlight} = this.context;
 		try {
+			if (hasCallerLeft(exchange.request.socket)) {
+				exchange.callerLeft = true;
+				throw new FescuewickError(ResultCode.callerLeft, 'the caller left before the request was handled');
+			}
+
 			await this.#run(exchange, expectsContinue);
 		} catch (error) {
 			const failure = toFescuewickError(error);
@@ -200,18 +217,35 @@
 	}
 
 	async #awaitSlot(exchange: Exchange, {match, credentials, deadlineAtMs}: AdmittedRequest): Promise<BackendLease> {
-		const {timers, services, inFlight} = this.context;
+		const {closeBarrier, timers, services, inFlight} = this.context;
 		const scheduler = services.scheduler(match.service);
 		const queuedAtMs = timers.nowMs();
+		let isQueued = false;
 		try {
 			return await new Promise<BackendLease>((resolve, reject) => {
+				const callerLeft = () => new FescuewickError(ResultCode.callerLeft, 'the caller left before the request was sent');
 				const slotRequest: SlotRequest = {
 					workspace: credentials.workspace,
 					dueAtMs: exchange.arrivedAtMs + match.settings.latenessTargetMs,
 					deadlineAtMs,
 					deadlineMs: match.settings.deadlineMs,
 					maxIdleMs: match.settings.safety === Safety.atMostOnce ? orderMaxIdleMs : undefined,
-					onSlot: resolve,
+					onSlot(lease) {
+						if (!isQueued) {
+							resolve(lease);
+							return;
+						}
+
+						closeBarrier.run(() => {
+							if (exchange.callerLeft || hasCallerLeft(exchange.request.socket)) {
+								exchange.callerLeft = true;
+								scheduler.pool.releaseUnused(lease);
+								reject(callerLeft());
+							} else {
+								resolve(lease);
+							}
+						});
+					},
 					onRefused: reject,
 				};
 				const abort = (error: FescuewickError) => {
@@ -221,13 +255,14 @@
 				};
 
 				if (exchange.callerLeft) {
-					reject(new FescuewickError(ResultCode.callerLeft, 'the caller left before the request was sent'));
+					reject(callerLeft());
 					return;
 				}
 
 				scheduler.submit(slotRequest);
+				isQueued = true;
 				exchange.onCallerLeft(() => {
-					abort(new FescuewickError(ResultCode.callerLeft, 'the caller left before the request was sent'));
+					abort(callerLeft());
 				});
 				inFlight.setRevocationAction(exchange, credentials.digestHex, 'queued', () => {
 					abort(new FescuewickError(ResultCode.keyWithdrawn, 'the key was withdrawn'));
--- a/packages/gateway/src/forward/forwarded-request.test.ts
+++ b/packages/gateway/src/forward/forwarded-request.test.ts
@@ -1,14 +1,15 @@
 import {PassThrough} from 'node:stream';
 import test from 'ava';
 import {ManualTimerService} from '@fescuewick/core';
-import {noBody, type BackendConnection, type ConnectionPool} from '@fescuewick/entry/http';
+import {
+	CloseBarrier, noBody, type BackendConnection, type ConnectionPool,
+} from '@fescuewick/entry/http';
 import {RequestQueues} from '../admission/request-queues.js';
 import {WorkspaceLimiter} from '../limits/workspace-limiter.js';
 import {Backend} from '../placement/backend.js';
 import {ChoiceReason} from '../placement/choose-backend.js';
 import {PlacementFailure, type Placer} from '../placement/placer.js';
 import {SlotDemandMeter} from '../placement/slot-demand-meter.js';
-import {CloseBarrier} from '../server/close-barrier.js';
 import {backendRecord, route, TestDialect} from '../testing/fixtures.js';
 import {RetryBudgets, type ForwardingContext} from './forwarding-context.js';
 import {type AdmittedRequest} from './admitted-request.js';
--- a/packages/gateway/src/forward/forwarded-request.ts
+++ b/packages/gateway/src/forward/forwarded-request.ts
@@ -2,6 +2,7 @@
 import {
 	ResultCode, resultCodeTable, type Cancel,
 } from '@fescuewick/core';
+import {hasCallerLeft} from '@fescuewick/entry/http';
 import {pauseRetryAfterMs, retryAfterMs} from '../admission/admission.js';
 import {type ActiveRequest} from '../admission/request-queues.js';
 import {PlacementFailure, type Placement} from '../placement/placer.js';
@@ -99,8 +100,13 @@
 		}
 	}
 
-	/** Sends the request if a server has a free slot; returns whether it was sent or answered. */
+	/** Sends the request if its caller is there and a server has a free slot; returns whether it was sent or has ended. */
 	#tryPlace(): boolean {
+		if (hasCallerLeft(this.admitted.request.socket)) {
+			this.#onCallerClosed();
+			return true;
+		}
+
 		const placement = this.#requestPlacement.find();
 		if (placement === PlacementFailure.full) {
 			return false;
--- a/packages/gateway/src/forward/forwarding-context.ts
+++ b/packages/gateway/src/forward/forwarding-context.ts
@@ -1,10 +1,9 @@
 import {type TimerService} from '@fescuewick/core';
-import {RetryBudget, type RetryLimits} from '@fescuewick/entry/http';
+import {RetryBudget, type CloseBarrier, type RetryLimits} from '@fescuewick/entry/http';
 import {type ActiveRequest, type RequestQueues} from '../admission/request-queues.js';
 import {type WorkspaceLimiter} from '../limits/workspace-limiter.js';
 import {type SlotDemandMeter} from '../placement/slot-demand-meter.js';
 import {type Placer} from '../placement/placer.js';
-import {type CloseBarrier} from '../server/close-barrier.js';
 import {type HeaderDialect} from './header-dialect.js';
 import {type RouteLatency} from './route-latency.js';
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
 import {
 	Metrics, type Cancel, type Logger, type TimerService,
 } from '@fescuewick/core';
+import {CloseBarrier} from '@fescuewick/entry/http';
 import {Collection, type CollectionStore} from '@fescuewick/store';
 import {RequestQueues} from './admission/request-queues.js';
 import {entryAddressesFor} from './directory/entry-directory.js';
@@ -25,7 +26,6 @@
 import {Prober} from './placement/prober.js';
 import {RegionalDemand, SlotDemandMeter, type SlotDemand} from './placement/slot-demand-meter.js';
 import {EventLoopDelay} from './server/event-loop-delay.js';
-import {CloseBarrier} from './server/close-barrier.js';
 import {registerGauges} from './server/gauges.js';
 import {applyLimits, createFrontServer, stopFrontServer} from './server/front-server.js';
 import {RequestHandler} from './server/request-handler.js';
--- a/packages/gateway/src/server/request-handler.ts
+++ b/packages/gateway/src/server/request-handler.ts
@@ -1,7 +1,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {ResultCode, resultCodeName, toFescuewickError} from '@fescuewick/core';
 import {
-	BodyBufferBudget, checkBodyLength, checkHeaderNames, hasBody, noBody, readBody, type BodyLimits, type RequestBody,
+	BodyBufferBudget, checkBodyLength, checkHeaderNames, hasBody, hasCallerLeft, noBody, readBody, type BodyLimits, type RequestBody,
 } from '@fescuewick/entry/http';
 import {rateRetryAfterMs} from '../admission/admission.js';
 import {type ActiveRequest} from '../admission/request-queues.js';
@@ -12,7 +12,6 @@
 import {type ConfigurationIndex, type Route, type Workspace} from '../model/configuration.js';
 import {WeightedRoundRobin} from '../placement/weighted-round-robin.js';
 import {type GatewaySettings} from '../settings.js';
-import {hasCallerLeft} from './close-barrier.js';
 
 /** Bodies up to this size are buffered, so that requests can be retried. */
 const maxReplayBytes = 262_144;
