Cancel the entry daemon's pipelined requests when their caller leaves

The exchange listens for the end of the connection itself.

The test fails on the code before (1 of 2 runs cancelled).

--- a/packages/entry/src/departed-callers.test.ts
+++ b/packages/entry/src/departed-callers.test.ts
@@ -38,3 +38,19 @@
 	await sleep(settleMs);
 	t.is(observations.runs, runsBefore);
 });
+
+test.serial('a request that waits behind another one on its connection is cancelled when the caller leaves', async t => {
+	// Guards against a server that works on a pipelined request for a caller that has left.
+	const {observations, behaviour, connectCaller} = await startWithConnection(t);
+	behaviour.serviceMs = 5000;
+	const runsBefore = observations.runs;
+	const caller = await connectCaller();
+	caller.write(checkText + checkText);
+	while (observations.runs < runsBefore + 2) {
+		await sleep(10);
+	}
+
+	caller.destroy();
+	await sleep(settleMs);
+	t.is(observations.cancelled, 2);
+});
--- a/packages/entry/src/request/exchange.ts
+++ b/packages/entry/src/request/exchange.ts
@@ -32,14 +32,21 @@
 	/** Whether the caller closed its connection before the answer was complete. */
 	callerLeft = false;
 	#callerLeftAction: (() => void) | undefined;
+	readonly #onClose = () => {
+		if (!this.response.writableFinished) {
+			this.callerLeft = true;
+			this.#callerLeftAction?.();
+		}
+	};
 
 	constructor(readonly request: IncomingMessage, readonly response: ServerResponse, private readonly origin: {readonly id: string; readonly arrivedAtMs: number; readonly closing: () => boolean}) {
-		response.once('close', () => {
-			if (!response.writableFinished) {
-				this.callerLeft = true;
-				this.#callerLeftAction?.();
-			}
-		});
+		// The response of a request that waits behind another one on its connection has no event for the end of the connection.
+		request.socket.once('close', this.#onClose);
+	}
+
+	/** To be called when the request has ended. */
+	dispose(): void {
+		this.request.socket.off('close', this.#onClose);
 	}
 
 	get id(): string {
--- a/packages/entry/src/request/request-handler.ts
+++ b/packages/entry/src/request/request-handler.ts
@@ -99,6 +99,7 @@
 			exchange.refuse(failure);
 		} finally {
 			inFlight.remove(exchange);
+			exchange.dispose();
 			this.#recordResult(exchange);
 		}
 	}
--- a/packages/entry/src/server/front-server.ts
+++ b/packages/entry/src/server/front-server.ts
@@ -27,6 +27,10 @@
 	}, (request, response) => {
 		void handler.handle(request, response);
 	});
+	server.on('connection', socket => {
+		// Each request that waits behind another one on a connection listens for its end.
+		socket.setMaxListeners(0);
+	});
 	server.maxConnections = limits.maxCallerConnections;
 	server.on('checkContinue', (request, response) => {
 		void handler.handle(request, response, true);
