Count no requests against a limit that was forgotten

A server that names a limit again after 30 s without an answer would get nothing for as long as the requests sent meanwhile take at the limit's rate, as they were counted against a limit that was not in force. Found by reading the diff; the test fails on the code before (a wait of 218 s for 0).

--- a/packages/gateway/src/placement/backend.test.ts
+++ b/packages/gateway/src/placement/backend.test.ts
@@ -31,6 +31,29 @@
 	t.true(backend.load(2000, () => 8) < 9);
 });
 
+test('requests that were sent after a limit was forgotten do not count against it when it is named again', t => {
+	// Guards against a server that gets nothing for minutes because its limit was not named for a while.
+	const backend = createBackend();
+	const share = () => ({ratePerS: 4, burst: 4});
+	const limitAt = (nowMs: number) => ({
+		perS: 4, sinceMs: nowMs, confirmedAtMs: nowMs, announced: {perS: 4, atMs: nowMs},
+	});
+	backend.setLimit(limitAt(0), 0);
+	t.is(backend.limitWaitMs(0, share), 250);
+	t.is(backend.limitWaitMs(31_000, share), 0);
+	for (let index = 0; index < 1000; index++) {
+		backend.recordSent(31_000);
+	}
+
+	backend.setLimit(limitAt(32_000), 32_000);
+	t.is(backend.limitWaitMs(32_000, share), 0);
+	for (let index = 0; index < 4; index++) {
+		backend.recordSent(32_000);
+	}
+
+	t.is(backend.limitWaitMs(32_000, share), 250);
+});
+
 type Job = {readonly vm: number; readonly object: number; readonly sentAtMs: number; endsAtMs?: number};
 
 type Scenario = {
--- a/packages/gateway/src/placement/backend.ts
+++ b/packages/gateway/src/placement/backend.ts
@@ -228,7 +228,9 @@
 			this.coldRequests.add(nowMs);
 		}
 
-		this.#limitAllowance?.take();
+		if (this.limitPerS(nowMs) !== undefined) {
+			this.#limitAllowance!.take();
+		}
 	}
 
 	/** Estimated requests at the server: those of this VM, and those of other VMs as estimated from its reports. `senderCount` returns the number of VMs that send to it. */
