--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,8 +19,7 @@
 import {PeerClient} from './peers/peer-client.js';
 import {PeerTable} from './peers/peer-table.js';
 import {Registration} from './peers/registration.js';
-import {ServerNoticeKind, type ServerNotice} from './peers/server-notice.js';
-import {StatementSource} from './placement/backend-statements.js';
+import {ServerNoticeKind} from './peers/server-notice.js';
 import {Placer} from './placement/placer.js';
 import {type ShiftedFractions} from './placement/region-plan.js';
 import {Prober} from './placement/prober.js';
@@ -134,7 +133,7 @@
 				this.#limiter.applyReports(heartbeat.record.vm, heartbeat.incarnation, heartbeat.buckets);
 			},
 			onServerNotice: (notice, peerAddress) => {
-				this.#applyNotice(notice, peerAddress);
+				this.#placer.statements.applyNotice(notice, peerAddress);
 			},
 		});
 		this.#registration = new Registration({
@@ -314,18 +313,6 @@
 		logger.info({event: 'stopped'}, 'gateway stopped');
 	}
 
-	/** Takes over what a server said to a peer. */
-	#applyNotice(notice: ServerNotice, peerAddress: string): void {
-		const {statements} = this.#placer;
-		if (notice.kind === ServerNoticeKind.leaving) {
-			statements.markLeaving(notice.start, StatementSource.peer, peerAddress);
-		} else if (notice.limitPerS === undefined) {
-			statements.markUnlimited(notice.start, StatementSource.peer);
-		} else {
-			statements.markLimited(notice.start, notice.limitPerS, StatementSource.peer);
-		}
-	}
-
 	/** Fractions that another VM of this region shifts to other regions; a VM that has just started adopts them. */
 	#shiftedFractionsOfRegion(): ShiftedFractions | undefined {
 		for (const {record, shiftedFractions} of this.#peers.alive()) {
--- a/packages/gateway/src/placement/backend-statements.ts
+++ b/packages/gateway/src/placement/backend-statements.ts
@@ -1,4 +1,5 @@
 import {type Logger, type TimerService} from '@fescuewick/core';
+import {ServerNoticeKind, type ServerNotice} from '../peers/server-notice.js';
 import {ConditionEvent, type Backend} from './backend.js';
 import {limitTtlMs, ServerStatements, type ServerStart} from './server-statements.js';
 
@@ -127,6 +128,17 @@
 		}
 	}
 
+	/** Takes over what a server said to a peer. */
+	applyNotice(notice: ServerNotice, peerAddress: string): void {
+		if (notice.kind === ServerNoticeKind.leaving) {
+			this.markLeaving(notice.start, StatementSource.peer, peerAddress);
+		} else if (notice.limitPerS === undefined) {
+			this.markUnlimited(notice.start, StatementSource.peer);
+		} else {
+			this.markLimited(notice.start, notice.limitPerS, StatementSource.peer);
+		}
+	}
+
 	/** Applies what a server said about its present start to its condition. */
 	apply(backend: Backend): void {
 		const {timers, onSlotAvailable} = this.options;
