Send further orders until the end of a limit is known, in the test of peers

It sent one order after the server named no limit any more and waited for the news at the peer. It now goes on sending; what it checks is the same, and the first answer is checked too.

--- a/packages/gateway/src/server-limits.test.ts
+++ b/packages/gateway/src/server-limits.test.ts
@@ -67,7 +67,8 @@
 	const store = shopStore();
 	const server = await addBackend(t, store, {id: 's1', onRequest: answerWithLimit(0)});
 	const [first, second] = await startPair(t, store);
-	await callOrder(first);
+	const answer = await callOrder(first);
+	t.is(answer.status, 200);
 	await waitUntil(() => hasEvent(second, 'backend-limited', 'peer'));
 	const refusal = await callOrder(second);
 	t.is(refusal.status, 503);
@@ -82,8 +83,10 @@
 	});
 	await waitUntil(() => second.lines.some(({event, source, limitPerS}) => event === 'backend-limited' && source === 'peer' && limitPerS === 20));
 	server.onRequest = answerWithLimit(undefined);
-	await callOrder(first);
-	await waitUntil(() => hasEvent(second, 'backend-limit-ended', 'peer'));
+	await waitUntil(async () => {
+		await callOrder(first);
+		return hasEvent(second, 'backend-limit-ended', 'peer');
+	});
 });
 
 test.serial('a request that waits is sent when the limit of a server allows another one', async t => {
