Keep the requests that are not admitted yet as a set

A request whose forwarding fails at once would be taken off the count twice, and a stopping VM would then wait for one request less.

--- a/packages/gateway/src/server/request-handler.ts
+++ b/packages/gateway/src/server/request-handler.ts
@@ -37,7 +37,7 @@
 	readonly #bodyMemory: BodyBufferBudget;
 	readonly #serviceTurns = new WeakMap<Route, WeightedRoundRobin>();
 	/** Requests that were read and neither admitted nor refused yet. */
-	#unadmitted = 0;
+	readonly #unadmitted = new Set<IncomingMessage>();
 	#sequence = 0;
 
 	constructor(private readonly context: ForwardingContext, private readonly configuration: () => ConfigurationIndex | undefined, {maxBufferedBytes}: UploadLimits) {
@@ -46,7 +46,7 @@
 
 	/** Requests that were read and have no complete answer. */
 	get unansweredCount(): number {
-		return this.#unadmitted + this.activeRequests.size;
+		return this.#unadmitted.size + this.activeRequests.size;
 	}
 
 	/** Memory reserved for buffered bodies, in bytes. */
@@ -58,7 +58,7 @@
 	handle(request: IncomingMessage, response: ServerResponse): void {
 		const {closeBarrier, dialect, timers} = this.context;
 		const arrivedAtMs = timers.nowMs();
-		this.#unadmitted++;
+		this.#unadmitted.add(request);
 		closeBarrier.run(() => {
 			const readRequest = {
 				request, response, arrivedAtMs, fields: dialect.readRequest(request.headers),
@@ -110,7 +110,7 @@
 				...readRequest, ...admission, id: fields.id ?? this.#newId(), service: this.#serviceOf(route), body, deadlineAtMs: arrivedAtMs + requestTimeoutMs(route, fields),
 			});
 			this.activeRequests.add(forwardedRequest);
-			this.#unadmitted--;
+			this.#unadmitted.delete(request);
 			forwardedRequest.start();
 		} catch (error) {
 			const {code, message} = toFescuewickError(error);
@@ -200,7 +200,7 @@
 
 	#refuse({request, response, fields, arrivedAtMs}: ReadRequest, refusal: RequestRefusal): void {
 		const {code, retryMs, message} = refusal;
-		this.#unadmitted--;
+		this.#unadmitted.delete(request);
 		if (code !== ResultCode.callerLeft && !response.headersSent && !response.destroyed) {
 			sendError({
 				request, response, timers: this.context.timers, code, id: fields.id, idHeader: this.context.dialect.requestIdHeader, retryMs, message, isClosing: this.context.isDraining(),
