--- a/review/1/case.js
+++ b/review/1/case.js
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {BackendServer} from '../stand-ins/server.js';
@@ -13,6 +14,9 @@
 const orderClients = 8;
 /** Pace of the body that has no end: a piece every so many milliseconds. */
 const pieceMs = 20;
+/** Time for which orders are sent, and the pause of a client between two, in milliseconds. */
+const playedMs = 5000;
+const pauseMs = 50;
 const piece = Buffer.alloc(16_384, 'x');
 
 const route = {
@@ -88,9 +92,10 @@
 	}));
 	for (const gateway of gateways) {
 		gateway.start();
-		atEnd(async () => gateway.close());
 	}
 
+	atEnd(async () => Promise.all(gateways.map(async gateway => gateway.close())));
+
 	await Promise.all(gateways.map(async gateway => gateway.waitUntilReady()));
 	await sleep(3500);
 
@@ -105,22 +110,22 @@
 			client.close();
 		}
 	});
-	let isPhotoDone = false;
-	const photoDone = photo.send({path: '/photo/1', deadlineMs: 3000}).finally(() => {
-		isPhotoDone = true;
-	});
+	const endsAtMs = performance.now() + playedMs;
+	const photoDone = photo.send({path: '/photo/1', deadlineMs: 3000});
 	const sendOrders = async client => {
 		const results = [];
-		while (!isPhotoDone) {
+		while (performance.now() < endsAtMs) {
 			results.push(await client.send({
 				method: 'POST', path: '/hire/1', deadlineMs: 4000, body: 'figures=3',
 			}));
+			await sleep(pauseMs);
 		}
 
 		return results;
 	};
 
-	const results = (await Promise.all(orders.map(async client => sendOrders(client)))).flat();
+	const answers = await Promise.all(orders.map(async client => sendOrders(client)));
+	const results = answers.flat();
 	await photoDone;
 	await sleep(500);
 	const ran = new Set(record.of('run').map(({id}) => id));
--- a/review/stand-ins/client.js
+++ b/review/stand-ins/client.js
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {Agent, request as sendRequest} from 'node:http';
 import {splitAddress} from './record.js';
 
--- a/review/stand-ins/gateway.js
+++ b/review/stand-ins/gateway.js
@@ -1,6 +1,8 @@
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
-import {closeSync, openSync, readFileSync, writeFileSync} from 'node:fs';
+import {
+	closeSync, openSync, readFileSync, writeFileSync,
+} from 'node:fs';
 import {createServer} from 'node:net';
 import path from 'node:path';
 import process from 'node:process';
@@ -14,7 +16,8 @@
 /** Time limit for a start, in milliseconds. */
 const startTimeoutMs = 15_000;
 
-/** Bounds of the small deployment, as its settings name them. */
+/** Bounds of the small deployment, under the names of the platform's settings. */
+/* eslint-disable-next-line camelcase */
 export const bounds = {
 	graceS: 6, ttl_max_s: 5, retryBudgetRatio: 0.2, retryBudgetSlack: 56, budgetWindowS: 10, coldOver: 1.5, coldSlack: 5, quotaOver: 0.1, quotaWindowS: 5, quotaSlack: 20, shiftMost: 0.15,
 };
@@ -30,7 +33,12 @@
 
 /** A value of the settings by its dotted name. */
 function valueOf(settings, name) {
-	return name.split('.').reduce((value, part) => value?.[part], settings);
+	let value = settings;
+	for (const part of name.split('.')) {
+		value = value?.[part];
+	}
+
+	return value;
 }
 
 /** Fills in the placeholders of a settings template; the template of the project has no sections. */
@@ -78,8 +86,11 @@
 		const log = openSync(path.join(this.directory, `${this.machine.name}.log`), 'a');
 		const [program, ...words] = this.command;
 		const child = spawn(program === 'node' ? process.execPath : program, words, {
-			// eslint-disable-next-line @typescript-eslint/naming-convention
-			cwd: root, stdio: ['ignore', log, log], env: {PATH: process.env.PATH, HOME: process.env.HOME, LANG: process.env.LANG, FESCUEWICK_BOOT: this.settingsFile},
+			cwd: root,
+			stdio: ['ignore', log, log],
+			env: {
+				PATH: process.env.PATH, HOME: process.env.HOME, LANG: process.env.LANG, FESCUEWICK_BOOT: this.settingsFile,
+			},
 		});
 		closeSync(log);
 		this.#child = child;
--- a/review/stand-ins/record.js
+++ b/review/stand-ins/record.js
@@ -64,5 +64,8 @@
 		console.log(directory);
 	}
 
-	process.exit(status);
+	process.exitCode = status;
+	// Kept connections and timers of the stand-ins must not hold the process.
+	// eslint-disable-next-line unicorn/no-process-exit
+	process.exit();
 }
--- a/review/stand-ins/server.js
+++ b/review/stand-ins/server.js
@@ -2,7 +2,7 @@
 import {createServer} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 
-/** Interval of the servers' heartbeats in the store, in milliseconds. */
+/** Time after which a server closes an idle connection, in milliseconds. */
 const idleCloseMs = 10_000;
 
 /**
@@ -15,9 +15,7 @@
 	#running = 0;
 	#queue = [];
 	#sockets = new Set();
-	#server = createServer((request, response) => {
-		void this.#handle(request, response);
-	});
+	#server = createServer(async (request, response) => this.#handle(request, response));
 
 	constructor({id, service, zone, slots, workMs, record, store}) {
 		Object.assign(this, {
@@ -54,7 +52,9 @@
 	/** Headers of an answer to a request. */
 	headers(request) {
 		return {
-			'x-request-id': request.headers['x-request-id'] ?? '', 'x-server-stamp': `${this.id}.${request.headers['x-request-id']}`, 'x-server-load': `${this.#running},${this.#queue.length},${this.slots}`,
+			'x-request-id': request.headers['x-request-id'] ?? '',
+			'x-server-stamp': `${this.id}.${request.headers['x-request-id']}`,
+			'x-server-load': `${this.#running},${this.#queue.length},${this.slots}`,
 		};
 	}
 
@@ -62,9 +62,10 @@
 		const id = request.headers['x-request-id'];
 		request.on('error', () => undefined);
 		response.on('error', () => undefined);
+		const load = `${this.#running},${this.#queue.length},${this.slots}`;
 		if (request.url === '/health') {
 			request.resume();
-			response.writeHead(200, {'x-instance-id': this.id, 'x-server-load': `${this.#running},${this.#queue.length},${this.slots}`}).end();
+			response.writeHead(200, {'x-instance-id': this.id, 'x-server-load': load}).end();
 			return;
 		}
 
--- a/review/stand-ins/store.js
+++ b/review/stand-ins/store.js
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {createServer} from 'node:http';
 
@@ -10,9 +11,7 @@
 	#events = [];
 	#objects = new Map();
 	#waiting = new Set();
-	#server = createServer((request, response) => {
-		void this.#handle(request, response);
-	});
+	#server = createServer(async (request, response) => this.#handle(request, response));
 
 	async listen() {
 		this.#server.listen(0, '127.0.0.1');
@@ -78,20 +77,20 @@
 			response.writeHead(status, {'content-type': 'application/json'}).end(JSON.stringify(body));
 		};
 
-		const {pathname, searchParams} = new URL(request.url, 'http://store');
+		const {pathname, searchParams: query} = new URL(request.url, 'http://store');
 		const [kind, name] = pathname.split('/').slice(2).map(part => decodeURIComponent(part));
 		const objects = this.#ofKind(kind);
-		if (request.method === 'GET' && searchParams.has('watch')) {
-			await this.#watch(kind, searchParams, send);
+		if (request.method === 'GET' && query.has('watch')) {
+			await this.#watch(kind, query, send);
 		} else if (request.method === 'GET' && name === undefined) {
-			const after = searchParams.get('after') ?? '';
+			const after = query.get('after') ?? '';
 			const items = [...objects.values()].filter(({metadata}) => metadata.name > after).sort((one, other) => one.metadata.name < other.metadata.name ? -1 : 1);
 			send(200, {items: items.slice(0, pageSize), hasMore: items.length > pageSize, asOf: this.#revision});
 		} else if (request.method === 'GET') {
 			send(objects.has(name) ? 200 : 404, objects.get(name));
 		} else {
 			this.#change({
-				method: request.method, kind, name, rev: searchParams.get('rev'), body: Buffer.concat(chunks).toString(), send,
+				method: request.method, kind, name, rev: query.get('rev'), body: Buffer.concat(chunks).toString(), send,
 			});
 		}
 	}
@@ -114,8 +113,8 @@
 		}
 	}
 
-	async #watch(kind, searchParams, send) {
-		const since = Number(searchParams.get('watch'));
+	async #watch(kind, query, send) {
+		const since = Number(query.get('watch'));
 		const find = () => this.#events.filter(event => event.kind === kind && event.object.metadata.rev > since);
 		if (find().length === 0) {
 			await new Promise(resolve => {
@@ -131,7 +130,7 @@
 					}
 				};
 
-				const timer = setTimeout(end, Number(searchParams.get('waitMs') ?? 0));
+				const timer = setTimeout(end, Number(query.get('waitMs') ?? 0));
 				this.#waiting.add(wake);
 			});
 		}
