--- a/review/1/case.js
+++ b/review/1/case.js
@@ -12,6 +12,8 @@
 const key = 'xd9dnn2ctnfzs989anu6';
 /** Clients that hold a kept connection with an order at a sound server. */
 const orderClients = 8;
+/** Part of its requests that a grey server fails. */
+const greyShare = 0.45;
 /** Pace of the body that has no end: a piece every so many milliseconds. */
 const pieceMs = 20;
 /** Time for which orders are sent, and the pause of a client between two, in milliseconds. */
@@ -20,7 +22,7 @@
 const piece = Buffer.alloc(16_384, 'x');
 
 const route = {
-	timeoutS: 4, targetLatencyS: 1, priority: 1, maxAttempts: 2,
+	timeoutS: 4, targetLatencyS: 1, priority: 1, maxAttempts: 2, sessionAffinity: true,
 };
 const service = {
 	healthPath: '/health', maxConnections: 330, coldStartS: 3, coldPerS: 6.8,
@@ -46,19 +48,35 @@
 	}],
 };
 
-/** The faulty servers of the catalogue: the first answer to a request is a failure, and a second one is bytes that don't end. */
-function failThenStream() {
-	const failed = new Set();
-	return async (request, response, server) => {
-		request.resume();
+/** Two servers in trouble, chosen when it begins: `grey` fails a part of its requests, and the one that gets the first of them again sends bodies that don't end. */
+class Trouble {
+	#failed = new Set();
+	#count = 0;
+	#endless;
+
+	constructor(grey) {
+		this.grey = grey;
+	}
+
+	async answer(request, response, server) {
 		const id = request.headers['x-request-id'];
-		if (!failed.has(id)) {
-			failed.add(id);
+		if (server.id === this.grey && (this.#count++ * greyShare) % 1 < greyShare) {
+			this.#failed.add(id);
+			request.resume();
 			response.writeHead(500, {...server.headers(request), 'content-length': 0}).end();
 			server.record.add('server-answered', {server: server.id, id, status: 500});
 			return true;
 		}
 
+		if (this.#endless === undefined && this.#failed.has(id)) {
+			this.#endless = server.id;
+		}
+
+		if (server.id !== this.#endless) {
+			return false;
+		}
+
+		request.resume();
 		response.writeHead(200, server.headers(request));
 		server.record.add('server-streams', {server: server.id, id});
 		while (!response.destroyed) {
@@ -68,7 +86,7 @@
 
 		server.record.add('server-closed', {server: server.id, id});
 		return true;
-	};
+	}
 }
 
 await runCase(path.dirname(new URL(import.meta.url).pathname), async ({record, directory, isTroubled, atEnd}) => {
@@ -76,14 +94,16 @@
 	await store.listen();
 	atEnd(() => store.close());
 	store.set('config', 'main', configuration);
-	const answer = isTroubled ? failThenStream() : undefined;
-	for (const [index, name] of ['booking', 'booking', 'catalogue', 'catalogue'].entries()) {
-		const server = new BackendServer({
-			id: `i-${index}`, service: name, zone: 'addis-a', slots: 8, workMs: name === 'booking' ? 840 : 300, record, store,
-		});
-		server.answer = name === 'catalogue' ? answer : undefined;
-		await server.start();
-		atEnd(() => server.close());
+	let trouble;
+	for (const [name, count, workMs] of [['booking', 12, 840], ['catalogue', 14, 300]]) {
+		for (let index = 0; index < count; index++) {
+			const server = new BackendServer({
+				id: `i-${name}-${index}`, service: name, zone: 'addis-a', slots: 8, workMs, record, store,
+			});
+			server.answer = async (request, response) => trouble !== undefined && name === 'catalogue' && trouble.answer(request, response, server);
+			await server.start();
+			atEnd(() => server.close());
+		}
 	}
 
 	const machines = await Gateway.layOut([{name: 'front-addis-a-1', zone: 'addis-a'}, {name: 'front-tigray-a-1', zone: 'tigray-a'}]);
@@ -111,7 +131,13 @@
 		}
 	});
 	const endsAtMs = performance.now() + playedMs;
-	const photoDone = photo.send({path: '/photo/1', deadlineMs: 3000});
+	const browse = async () => photo.send({path: '/photo/1', deadlineMs: 8000, headers: {cookie: 'X-Affinity-Key=1'}});
+	const {id: firstPhoto} = await browse();
+	if (isTroubled) {
+		trouble = new Trouble(record.of('run').find(({id}) => id === firstPhoto).server);
+	}
+
+	const photoDone = browse();
 	const sendOrders = async client => {
 		const results = [];
 		while (performance.now() < endsAtMs) {
--- a/review/stand-ins/gateway.js
+++ b/review/stand-ins/gateway.js
@@ -16,11 +16,11 @@
 /** Time limit for a start, in milliseconds. */
 const startTimeoutMs = 15_000;
 
-/** Bounds of the small deployment, under the names of the platform's settings. */
-/* eslint-disable-next-line camelcase */
-export const bounds = {
-	graceS: 6, ttl_max_s: 5, retryBudgetRatio: 0.2, retryBudgetSlack: 56, budgetWindowS: 10, coldOver: 1.5, coldSlack: 5, quotaOver: 0.1, quotaWindowS: 5, quotaSlack: 20, shiftMost: 0.15,
-};
+/** Bounds of the small deployment, as the settings of the platform list them. */
+const boundTexts = [
+	'graceS=6', 'ttl_max_s=5', 'retryBudgetRatio=0.2', 'retryBudgetSlack=56', 'budgetWindowS=10', 'coldOver=1.5', 'coldSlack=5', 'quotaOver=0.1', 'quotaWindowS=5', 'quotaSlack=20', 'shiftMost=0.15',
+];
+export const bounds = Object.fromEntries(boundTexts.map(text => text.split('=')));
 
 /** Returns free ports on an address. */
 async function freePorts(host, count) {
@@ -65,7 +65,16 @@
 		this.command = run.split(' ');
 		this.settingsFile = path.join(directory, `${machine.name}.yaml`);
 		writeFileSync(this.settingsFile, render(readFileSync(path.join(root, template), 'utf8'), {
-			nodeName: machine.name, zone: machine.zone, region: zones[machine.zone], zones, ip: machine.ip, listen: machine.listen, internalPortRange: machine.internalPorts, seeds: machines.slice(0, 3).map(({listen}) => listen.control), platform: {address: storeAddress}, bounds,
+			nodeName: machine.name,
+			zone: machine.zone,
+			region: zones[machine.zone],
+			zones,
+			ip: machine.ip,
+			listen: machine.listen,
+			internalPortRange: machine.internalPorts,
+			seeds: machines.slice(0, 3).map(({listen}) => listen.control),
+			platform: {address: storeAddress},
+			bounds,
 		}));
 	}
 
@@ -138,7 +147,7 @@
 		const exited = once(child, 'exit');
 		child.kill('SIGCONT');
 		child.kill('SIGTERM');
-		const timer = setTimeout(() => child.kill('SIGKILL'), bounds.graceS * 1000);
+		const timer = setTimeout(() => child.kill('SIGKILL'), Number(bounds.graceS) * 1000);
 		await exited;
 		clearTimeout(timer);
 	}
