Drop the kept error answer once another answer is streamed

What callers saw: a GET got a server's 500, was sent again, and the second server's answer was longer than 256 KiB and still on its way at the route's deadline. The gateway process ended with ERR_HTTP_HEADERS_SENT, and 8 orders of other callers were lost with it.

Cause: the 500 is kept as a fallback in case no other attempt succeeds. When a second answer was streamed, the fallback stayed, and at the deadline or at the end of a planned stop it was written after the head of the streamed answer; writeHead threw in a timer callback. Ruled out: that the deadline of a streamed answer by itself writes an answer (an endless body without a failure before it ends nothing).

Change: the fallback is dropped when an answer is about to be streamed, so that one place decides which answer goes out.

--- a/packages/gateway/src/broken-servers.test.ts
+++ b/packages/gateway/src/broken-servers.test.ts
@@ -8,7 +8,7 @@
 import {
 	addBackend, resultCodeOf, start, statusOf, waitUntil,
 } from './testing/gateway-steps.js';
-import {storeWith} from './testing/start-gateway.js';
+import {storeWith, type StartedGateway} from './testing/start-gateway.js';
 
 /** Body that is streamed to callers instead of being buffered. */
 const largeBody = 'x'.repeat(400_000);
@@ -119,6 +119,50 @@
 	await waitUntil(() => server.closedConnections === 1);
 });
 
+const endings: Record<string, {readonly checkTimeoutMs: number; readonly begin: (started: StartedGateway) => void}> = {
+	'its deadline': {checkTimeoutMs: timeoutMs, begin: () => undefined},
+	'the end of a planned stop': {
+		checkTimeoutMs: timeoutMs * 4,
+		begin({gateway}) {
+			void gateway.stop();
+		},
+	},
+};
+
+for (const [name, {checkTimeoutMs, begin}] of Object.entries(endings)) {
+	test(`a streamed answer that follows a failed attempt is cut at ${name}, and other requests go on`, async t => {
+		// Guards against writing the kept failure after the head of the streamed answer, which ended the process.
+		const store = storeWith(configuration(1, {
+			routes: [route({timeoutMs: checkTimeoutMs, maxAttempts: 2}), route({
+				name: 'reserve', pathPrefix: '/reserve/', isRepeatable: false, timeoutMs: timeoutMs * 4,
+			})],
+		}));
+		let checks = 0;
+		const onRequest: RequestListener = (socket, request) => {
+			if (request.head.startsWith('POST')) {
+				setTimeout(answerOk, timeoutMs * 1.5, socket, request);
+			} else if (++checks === 1) {
+				socket.write(`HTTP/1.1 500 Failed\r\ntest-id: ${headerOf(request, 'test-id')}\r\ntest-proof: 1\r\ncontent-length: 0\r\n\r\n`);
+			} else {
+				socket.write(headOf(request, 'transfer-encoding: chunked'));
+				writeEndlessly(socket, `${(4096).toString(16)}\r\n${'x'.repeat(4096)}\r\n`);
+			}
+		};
+
+		for (const id of ['s1', 's2']) {
+			await addBackend(t, store, {id, onRequest});
+		}
+
+		const started = await start(t, {store});
+		const order = statusOf(started.call('/reserve/1', {method: 'POST', body: 'x'}));
+		const response = await started.call('/check/1');
+		t.is(response.status, 200);
+		begin(started);
+		await t.throwsAsync(response.text(), {any: true});
+		t.is(await order, 200);
+	});
+}
+
 /** Sends orders until a connection is kept, then runs `onReuse` for each further request on it. */
 function repliesOnReuse(onReuse: RequestListener, onFirst: RequestListener = answerOk): RequestListener {
 	const used = new WeakSet<Socket>();
--- a/packages/gateway/src/forward/forwarded-request.ts
+++ b/packages/gateway/src/forward/forwarded-request.ts
@@ -40,7 +40,7 @@
 	#lastServer: string | undefined;
 	/** Placement of the last attempt. */
 	#lastPlacement: Placement | undefined;
-	/** Error answer of a server, passed on if no other attempt succeeds. */
+	/** Error answer of a server, passed on if no other attempt succeeds; undefined once another answer is streamed. */
 	#fallbackAttempt: BackendAttempt | undefined;
 	readonly #answerRelay: AnswerRelay;
 	readonly #slotWait: SlotWait;
@@ -55,7 +55,9 @@
 		this.#answerRelay = new AnswerRelay({
 			admitted, context, openAttempts: this.#openAttempts, onInvalidAnswer: (attempt, reason) => {
 				this.onFail(attempt, new Error(reason));
-			}, onStreaming(attempt) {
+			}, onStreaming: attempt => {
+				// Once the head of an answer goes to the caller, no other answer can.
+				this.#fallbackAttempt = undefined;
 				recordStreamingAnswer(attempt, admitted, context);
 			},
 		});
