Notice silent connections to the store within a bounded time

Cause: a watch waited for 6 to 10 s, and nothing but its end shows that its connection is silent. That some VM's watch ends soon holds only while the watches are spread; a change lets all watches of a collection begin anew together. Evidence: the VM that learns first logs watch-cut and then the configuration within milliseconds, the others log relayed. Ruled out: that the change is known but not applied or not relayed.

Change: waits are bounded by collection, so that silence is noticed within 3 s (backend servers, whose removed entries may be held for nearly 2 s more) or 4.5 s. A watch without an answer also restarts the other watches of its VM.

Before: five of five tests of silent-watches.test.ts fail with the former waits, and the test of idle connections without the new limit. By calculation the readers of a region make 3.7 watches a second instead of 1.1.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,12 +34,10 @@
 import {type GatewaySettings} from './settings.js';
 import {FleetState} from './state/fleet-state.js';
 import {followedCollections} from './state/followed-collections.js';
-import {StoreFollower} from './state/store-follower.js';
+import {StoreFollowers} from './state/store-followers.js';
 import {StoreCircuitBreaker} from './state/store-circuit-breaker.js';
 import {StoreReaderRole} from './state/store-reader-role.js';
 
-/** Mean wait of a watch, in milliseconds. As watches of different VMs end at different times, some VM soon notices that open connections have gone silent, and the others learn of changes from it. */
-const meanWatchWaitMs = 8000;
 /** TTL of directory answers, in milliseconds; callers use a lost VM for at most this long after its peers have noticed. */
 const directoryTtlMs = 2000;
 /** Fraction of the retry budget that is used; the remainder covers windows of VMs that are not aligned, and VMs that have just joined. */
@@ -76,7 +74,7 @@
 	readonly #registration: Registration;
 	readonly #replicaSync: ReplicaSync;
 	readonly #peerClient = new PeerClient();
-	readonly #followers: Record<string, StoreFollower>;
+	readonly #followers: StoreFollowers;
 	readonly #readerRole: StoreReaderRole;
 	readonly #limiter: WorkspaceLimiter;
 	readonly #closeBarrier: CloseBarrier;
@@ -120,7 +118,7 @@
 		this.#peers = new PeerTable({self: this.#self, timers, logger});
 		this.#replicaSync = new ReplicaSync({
 			replicas: this.#state.replicas, client: this.#peerClient, timers, logger, region: location.region, isReading: () => this.#readerRole.isReading, onAdopted: collection => {
-				this.#followers[collection]?.restartWatch();
+				this.#followers.restartWatch(collection);
 			},
 		});
 		this.#gossip = new Gossip({
@@ -151,12 +149,11 @@
 				this.#gossip.send(HeartbeatScope.fleet);
 			},
 		});
-		this.#followers = Object.fromEntries(followedCollections.map(collection => [collection, new StoreFollower({
-			store: deps.store, collection, replica: this.#state.replicas[collection], breaker: this.#breaker, timers, logger,
-			watchWaitMs: () => Math.round(meanWatchWaitMs * (0.75 + (random() / 2))),
-		})]));
+		this.#followers = new StoreFollowers({
+			store: deps.store, replicas: this.#state.replicas, breaker: this.#breaker, timers, logger, random,
+		});
 		this.#readerRole = new StoreReaderRole({
-			self: this.#self, isReady: () => this.isReady, peers: this.#peers, breaker: this.#breaker, followers: Object.values(this.#followers), timers, logger,
+			self: this.#self, isReady: () => this.isReady, peers: this.#peers, breaker: this.#breaker, followers: [...this.#followers], timers, logger,
 		});
 		this.#limiter = new WorkspaceLimiter(location.vm, timers, () => {
 			const {rateOvershoot, rateSlack, rateWindowMs} = this.settings.bounds;
@@ -239,10 +236,7 @@
 		}
 
 		await this.#gossip.start();
-		for (const follower of Object.values(this.#followers)) {
-			void follower.run();
-		}
-
+		this.#followers.run();
 		this.#registration.start();
 		const eventLoopDelay = new EventLoopDelay({
 			metrics: this.#metrics, timers, logger, intervalMs: checkIntervalMs,
@@ -296,10 +290,7 @@
 			cancel();
 		}
 
-		for (const follower of Object.values(this.#followers)) {
-			follower.stop();
-		}
-
+		this.#followers.stop();
 		this.#prober.stop();
 		this.#registration.stop();
 		this.#gossip.stop();
--- a/packages/gateway/src/peers/peer-client.ts
+++ b/packages/gateway/src/peers/peer-client.ts
@@ -8,11 +8,13 @@
 
 /** Timeout of a call to a peer, in milliseconds; a few round trips between regions. */
 const callTimeoutMs = 700;
+/** Idle connections are closed after this time, in milliseconds, whatever the peer proposes, so that a call does not wait on one that has gone silent. */
+const idleTimeoutMs = 1000;
 
 /** Reads collections and known VMs from peers. */
 export class PeerClient {
 	readonly #agent = new Agent({
-		connections: 1, pipelining: 1, keepAliveTimeout: 1000, connect: {timeout: callTimeoutMs / 2},
+		connections: 1, pipelining: 1, keepAliveTimeout: idleTimeoutMs, keepAliveMaxTimeout: idleTimeoutMs, connect: {timeout: callTimeoutMs / 2},
 	});
 
 	/** Reads a collection from a peer: the changes after `sinceRevision`, or all records if the peer no longer has all of these changes. */
--- a/packages/gateway/src/state/store-follower.ts
+++ b/packages/gateway/src/state/store-follower.ts
@@ -35,6 +35,8 @@
 	readonly logger: Logger;
 	/** Returns the longest wait of a watch, in milliseconds; called for each watch. */
 	readonly watchWaitMs: () => number;
+	/** Called when a watch got no answer although the store may be well, as on a connection that has gone silent. */
+	readonly onWatchCut?: () => void;
 };
 
 type CollectionUpdate = {readonly listing?: Listing; readonly batch?: ChangeBatch};
@@ -130,6 +132,7 @@
 					// The interruption of a long wait does not show that new calls would fail.
 					logger.info({event: 'watch-cut', collection, reason: message}, 'watch was interrupted');
 					breaker.succeeded(this.#caller);
+					this.options.onWatchCut?.();
 				} else {
 					breaker.failed(this.#caller, message);
 				}
--- /dev/null
+++ b/packages/gateway/src/state/store-followers.ts
@@ -0,0 +1,59 @@
+import {type Collection} from '@fescuewick/store';
+import {followedCollections, type FollowedCollection} from './followed-collections.js';
+import {type Replica} from './replica.js';
+import {StoreFollower, type StoreFollowerOptions} from './store-follower.js';
+import {watchWaitMs} from './watch-wait.js';
+
+/** Dependencies of the followers; `random` returns numbers in [0, 1). */
+export type StoreFollowersOptions = Pick<StoreFollowerOptions, 'store' | 'breaker' | 'timers' | 'logger'> & {
+	readonly replicas: Readonly<Record<Collection, Replica>>;
+	readonly random: () => number;
+};
+
+/** The followers of all collections of a store. */
+export class StoreFollowers implements Iterable<StoreFollower> {
+	readonly #followers: ReadonlyMap<Collection, StoreFollower>;
+
+	constructor({replicas, random, ...options}: StoreFollowersOptions) {
+		this.#followers = new Map(followedCollections.map(collection => [collection, new StoreFollower({
+			...options,
+			collection,
+			replica: replicas[collection],
+			watchWaitMs: () => watchWaitMs(collection, random()),
+			onWatchCut: () => {
+				this.#restartOthers(collection);
+			},
+		})]));
+	}
+
+	/** Starts all followers. */
+	run(): void {
+		for (const follower of this) {
+			void follower.run();
+		}
+	}
+
+	/** Restarts the watch of a collection, as after its replica was updated from a peer. */
+	restartWatch(collection: Collection): void {
+		this.#followers.get(collection)?.restartWatch();
+	}
+
+	stop(): void {
+		for (const follower of this) {
+			follower.stop();
+		}
+	}
+
+	[Symbol.iterator](): Iterator<StoreFollower> {
+		return this.#followers.values();
+	}
+
+	/** Restarts the watches of the other collections, whose connections may have gone silent as well. */
+	#restartOthers(cutCollection: FollowedCollection): void {
+		for (const [collection, follower] of this.#followers) {
+			if (collection !== cutCollection) {
+				follower.restartWatch();
+			}
+		}
+	}
+}
--- a/packages/store/src/collection-store.ts
+++ b/packages/store/src/collection-store.ts
@@ -1,3 +1,6 @@
+/** A call without an answer after this time has failed, in milliseconds; for a watch, the time counts from the end of its wait. Stores answer in milliseconds, or in a quarter of a second when they are slow. */
+export const maxAnswerMs = 1000;
+
 /** Collections of records, which VMs replicate. */
 export enum Collection {
 	configurations = 'configurations',
@@ -39,7 +42,7 @@
 export abstract class CollectionStore {
 	/** Reads all records of a collection. */
 	abstract list(collection: Collection, freshness: Freshness): Promise<Listing>;
-	/** Resolves with the changes after revision `afterRevision`; with an empty batch if none come within `waitMs`. */
+	/** Resolves with the changes after revision `afterRevision`; with an empty batch if none come within `waitMs`. Without an answer, as on a connection that has gone silent, it fails `maxAnswerMs` later. */
 	abstract watch(collection: Collection, afterRevision: number, waitMs: number, signal: AbortSignal): Promise<ChangeBatch>;
 	/** Creates a record, or replaces it if it exists. */
 	abstract put(collection: Collection, name: string, value: unknown): Promise<void>;
