Need keys also when the list of workspaces is empty

Cause: the adapter decoded a missing list as an empty one, and whether a route needs a key was derived from the number of workspaces. Ruled out: that the configuration is not applied (it is logged with no workspaces at both gateways).

Change: the decoded configuration says whether keys are needed, which holds if the list is there. Copies from peers without the field are read as before.

Before: the test that removes the last workspace got 200 for both keys, and the decoded configuration did not tell the cases apart.

--- a/packages/gateway/src/model/configuration.ts
+++ b/packages/gateway/src/model/configuration.ts
@@ -73,8 +73,9 @@
 	readonly version: number;
 	readonly routes: readonly Route[];
 	readonly services: readonly Service[];
-	/** Empty if no route needs a key. */
 	readonly workspaces: readonly Workspace[];
+	/** Whether routes that are not open need an API key, also if there is no workspace to hold one. Absent in copies from peers that do not know it. */
+	readonly needsKeys?: boolean;
 	readonly limits: CallerLimits;
 	/** Absent in copies from peers that know no such list. */
 	readonly unknownValues?: readonly UnknownValue[];
@@ -115,8 +116,8 @@
 	}
 
 	/** Whether routes that are not open need an API key. */
-	get hasWorkspaces(): boolean {
-		return this.workspaces.size > 0;
+	get needsKeys(): boolean {
+		return this.configuration.needsKeys ?? this.workspaces.size > 0;
 	}
 
 	/** The route with the longest matching prefix; `path` may include a query string. */
--- a/packages/gateway/src/server/request-handler.ts
+++ b/packages/gateway/src/server/request-handler.ts
@@ -166,7 +166,7 @@
 		}
 
 		let workspace: Workspace | undefined;
-		if (!route.isOpen && configuration.hasWorkspaces) {
+		if (!route.isOpen && configuration.needsKeys) {
 			if (fields.key === undefined) {
 				return {code: ResultCode.keyMissing};
 			}
