Handle signals before the modules of the gateway are loaded

Cause: a signal without a listener ends a Node.js process, and the listeners were registered once all modules had been loaded. Ruled out: the wait for replicas and the listening ports; the listeners are registered before them.

Change: the program is bundled into a small file that handles signals and then loads the rest. Related path: settings that changed after they were read and before the start had ended stayed in force; they are read again when it ends.

Before: without the change the test of settings that change during a start does not end, and the other test has nothing to import. After: both pass. The first 100 to 150 ms, in which Node.js itself starts, are out of reach of the program and remain open.

--- a/packages/core/src/run-daemon.test.ts
+++ b/packages/core/src/run-daemon.test.ts
@@ -5,9 +5,14 @@
 import process from 'node:process';
 import test from 'ava';
 
+const urlOf = (file: string) => JSON.stringify(new URL(file, import.meta.url).href);
 const daemon = `
-import {z} from 'zod';
-import {runDaemon} from ${JSON.stringify(new URL('run-daemon.js', import.meta.url).href)};
+import {listenForSignals} from ${urlOf('process-signals.js')};
+listenForSignals();
+console.log('loading');
+await new Promise(resolve => setTimeout(resolve, process.env.TEST_LOAD_MS));
+const {z} = await import('zod');
+const {runDaemon} = await import(${urlOf('run-daemon.js')});
 await runDaemon({
 	name: 'test-daemon',
 	description: 'A daemon that takes a while to stop',
@@ -31,10 +36,13 @@
 });
 `;
 
-function startDaemon(settings = 'size: 1\n') {
+/** Longest wait for a line of a daemon, in milliseconds; far above what a busy machine needs. */
+const printTimeoutMs = 20_000;
+
+function startDaemon(settings = 'size: 1\n', loadMs = 0) {
 	const settingsFile = path.join(mkdtempSync(path.join(tmpdir(), 'run-daemon-')), 'settings.yaml');
 	writeFileSync(settingsFile, settings);
-	const env = Object.fromEntries([...Object.entries(process.env), ['TEST_SETTINGS', settingsFile], ['FESCUEWICK_LOG', 'silent']]);
+	const env = Object.fromEntries([...Object.entries(process.env), ['TEST_SETTINGS', settingsFile], ['TEST_LOAD_MS', String(loadMs)], ['FESCUEWICK_LOG', 'silent']]);
 	const child = spawn(process.execPath, ['--input-type=module', '-e', daemon], {env, stdio: ['ignore', 'pipe', 'inherit']});
 	let output = '';
 	child.stdout.on('data', chunk => {
@@ -46,7 +54,13 @@
 		});
 	});
 	const printed = async (text: string) => {
+		const startedAtMs = performance.now();
 		while (!output.includes(text)) {
+			if (performance.now() - startedAtMs > printTimeoutMs) {
+				child.kill('SIGKILL');
+				throw new Error(`the daemon did not print "${text}" within ${printTimeoutMs} ms; it printed: ${output}`);
+			}
+
 			if (child.exitCode !== null || child.signalCode !== null) {
 				throw new Error(`the daemon ended with ${child.signalCode ?? `code ${child.exitCode}`} before it printed "${text}"; it printed: ${output}`);
 			}
@@ -84,6 +98,28 @@
 	t.is(await ended, 'code 0');
 });
 
+test('signals that come while the modules of a daemon are loaded do not end the process', async t => {
+	// Guards against a process that ends by a SIGHUP which only says that the settings changed, or by a SIGTERM without a graceful stop.
+	const {child, ended, printed} = startDaemon('size: 1\n', 300);
+	await printed('loading');
+	child.kill('SIGHUP');
+	child.kill('SIGTERM');
+	await printed('started 1');
+	await printed('stopped');
+	t.is(await ended, 'code 0');
+});
+
+test('settings that change during the start are read once it has ended', async t => {
+	// Guards against settings that stay in force although they changed, because the signal came before the start had returned.
+	const {settingsFile, child, ended, printed} = startDaemon('size: 1\nstartMs: 400\n');
+	await printed('starting');
+	writeFileSync(settingsFile, 'size: 2\n');
+	child.kill('SIGHUP');
+	await printed('reloaded 2');
+	child.kill('SIGTERM');
+	t.is(await ended, 'code 0');
+});
+
 test('a start that does not finish delays the exit by at most its limit', async t => {
 	const {child, ended, printed} = startDaemon('size: 1\nstartMs: 60000\n');
 	await printed('starting');
--- a/packages/core/src/run-daemon.ts
+++ b/packages/core/src/run-daemon.ts
@@ -4,6 +4,7 @@
 import {type z} from 'zod';
 import {toFescuewickError} from './errors.js';
 import {createLogger, type Logger} from './logger.js';
+import {listenForSignals, type ProcessSignals} from './process-signals.js';
 import {ResultCode} from './result-codes.js';
 import {readSettings} from './settings.js';
 import {SystemTimerService, type TimerService} from './timer-service.js';
@@ -36,10 +37,8 @@
 
 /** Reads the settings file named on the command line, runs the daemon until SIGTERM or SIGINT, and exits 0 after a graceful stop. A signal that comes during the start stops the daemon once it has started. */
 export async function runDaemon<Schema extends z.ZodType>(definition: DaemonDefinition<Schema>): Promise<void> {
-	// Without a listener, a SIGHUP during the start or the graceful stop would end the process.
-	process.on('SIGHUP', ignoreSignal);
-	// Registered before the start: a daemon may serve requests before its start returns, and a SIGTERM then must not end the process.
-	const stopRequested = waitForStopSignal();
+	const signals = listenForSignals();
+	const {stopRequested} = signals;
 	const option = new Option('--settings <file>', 'YAML settings file').makeOptionMandatory();
 	if (definition.settingsVariable !== undefined) {
 		option.env(definition.settingsVariable);
@@ -50,12 +49,15 @@
 	const logger = createLogger(definition.name, undefined, definition.logsTo);
 	const timers = new SystemTimerService();
 	try {
+		const read: SettingsRead = {hangups: signals.hangups, modifiedAtMs: modifiedAtMs(file)};
 		const settings = readSettings(file, definition.settingsSchema);
 		const daemon = await Promise.race([definition.start(settings, {timers, logger}), startTimeout(stopRequested, timers)]);
 		if (daemon === undefined) {
 			logger.warn({event: 'stopped-during-start', waitedMs: maxStartAfterStopMs}, 'start did not finish within the limit after a stop signal');
 		} else {
-			const unwatch = watchSettings(file, definition, daemon, {timers, logger});
+			const unwatch = watchSettings(file, definition, daemon, {
+				timers, logger, signals, read,
+			});
 			await stopRequested;
 			unwatch();
 			logger.info('stopping');
@@ -74,13 +76,23 @@
 	process.exit();
 }
 
-/** Reloads the settings on SIGHUP and when the file has changed; invalid settings are logged and the current ones stay in force. */
-function watchSettings<Schema extends z.ZodType>(file: string, {settingsSchema}: DaemonDefinition<Schema>, daemon: RunningDaemon<z.output<Schema>>, {timers, logger}: {readonly timers: TimerService; readonly logger: Logger}): () => void {
+/** State of the signals and of the settings file when the settings were read. */
+type SettingsRead = {readonly hangups: number; readonly modifiedAtMs: number | undefined};
+
+type WatchDependencies = {
+	readonly timers: TimerService;
+	readonly logger: Logger;
+	readonly signals: ProcessSignals;
+	readonly read: SettingsRead;
+};
+
+/** Reloads the settings on SIGHUP and when the file has changed, also if that happened during the start; invalid settings are logged and the current ones stay in force. */
+function watchSettings<Schema extends z.ZodType>(file: string, {settingsSchema}: DaemonDefinition<Schema>, daemon: RunningDaemon<z.output<Schema>>, {timers, logger, signals, read}: WatchDependencies): () => void {
 	if (daemon.reload === undefined) {
 		return () => undefined;
 	}
 
-	let lastModifiedAtMs = modifiedAtMs(file);
+	let lastModifiedAtMs = read.modifiedAtMs;
 	const reload = () => {
 		lastModifiedAtMs = modifiedAtMs(file);
 		try {
@@ -91,7 +103,11 @@
 		}
 	};
 
-	process.on('SIGHUP', reload);
+	signals.onHangup = reload;
+	if (signals.hangups > read.hangups) {
+		reload();
+	}
+
 	const cancel = timers.repeat(settingsPollIntervalMs, () => {
 		if (modifiedAtMs(file) !== lastModifiedAtMs) {
 			reload();
@@ -99,7 +115,7 @@
 	});
 	return () => {
 		cancel();
-		process.off('SIGHUP', reload);
+		signals.onHangup = undefined;
 	};
 }
 
@@ -108,24 +124,9 @@
 	return statSync(file, {throwIfNoEntry: false})?.mtimeMs;
 }
 
-function ignoreSignal(): void {
-	// A start or graceful stop in progress continues.
-}
-
 /** Resolves `maxStartAfterStopMs` after the first stop signal. */
 async function startTimeout(stopRequested: Promise<void>, timers: TimerService): Promise<undefined> {
 	await stopRequested;
 	await timers.sleep(maxStartAfterStopMs);
 	return undefined;
 }
-
-/** Resolves at the first SIGTERM or SIGINT; later ones are ignored, so that they do not interrupt the graceful stop. */
-async function waitForStopSignal(): Promise<void> {
-	await new Promise<void>(resolve => {
-		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-			process.on(signal, () => {
-				resolve();
-			});
-		}
-	});
-}
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,11 +1,15 @@
-// Bundles the gateway for the platform into one file, which makes it start faster and use less memory.
+// Bundles the gateway for the platform into two files, which makes it start faster and use less memory: a small one that handles signals and loads the other.
+import {rmSync} from 'node:fs';
 import process from 'node:process';
 import {build} from 'esbuild';
 
+rmSync('target', {recursive: true, force: true});
 const result = await build({
-	entryPoints: ['platform/src/main.ts'],
-	outfile: 'target/fescuewick-gateway.js',
+	entryPoints: {'fescuewick-gateway': 'platform/src/main.ts'},
+	outdir: 'target',
+	chunkNames: '[name]-[hash]',
 	bundle: true,
+	splitting: true,
 	platform: 'node',
 	format: 'esm',
 	target: 'node20',
@@ -19,8 +23,8 @@
 	metafile: process.argv.includes('--sizes'),
 });
 if (result.metafile) {
-	const [{inputs}] = Object.values(result.metafile.outputs);
-	for (const [file, {bytesInOutput}] of Object.entries(inputs).sort((a, b) => b[1].bytesInOutput - a[1].bytesInOutput).slice(0, 40)) {
+	const inputs = Object.values(result.metafile.outputs).flatMap(output => Object.entries(output.inputs));
+	for (const [file, {bytesInOutput}] of inputs.sort((a, b) => b[1].bytesInOutput - a[1].bytesInOutput).slice(0, 40)) {
 		process.stdout.write(`${bytesInOutput} ${file}\n`);
 	}
 }
