Wait for a port that another process still holds

Cause: the first failed bind ended the start. Change: a start tries a taken port again for up to 30 s and says so in the log; a port that stays taken still ends the process with an error. This holds for all TCP ports and the heartbeat port. Ruled out: other bind errors, which would not go away, still end the start at once.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,9 +27,10 @@
 import {EventLoopDelay} from './server/event-loop-delay.js';
 import {registerGauges} from './server/gauges.js';
 import {applyLimits, createFrontServer, stopFrontServer} from './server/front-server.js';
+import {listenAt} from './server/listen.js';
 import {RequestHandler} from './server/request-handler.js';
 import {
-	createDirectoryServer, createMetricsServer, createPeerServer, createReadinessServer, listenAt, type PlatformInterface, type AuxiliaryServerOptions,
+	createDirectoryServer, createMetricsServer, createPeerServer, createReadinessServer, type PlatformInterface, type AuxiliaryServerOptions,
 } from './server/auxiliary-servers.js';
 import {type GatewaySettings} from './settings.js';
 import {FleetState} from './state/fleet-state.js';
@@ -232,7 +233,7 @@
 		const {timers, logger} = this.deps;
 		const startedAtMs = timers.nowMs();
 		for (const {server, address} of this.#auxiliaryServers) {
-			await listenAt(server, address);
+			await listenAt(server, address, this.deps);
 		}
 
 		await this.#gossip.start();
@@ -260,7 +261,7 @@
 			await timers.sleep(20);
 		}
 
-		await listenAt(this.#frontServer, this.settings.listen.entry);
+		await listenAt(this.#frontServer, this.settings.listen.entry, this.deps);
 		this.#isListening = true;
 		this.#gossip.send(HeartbeatScope.fleet);
 		logger.info({
--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -1,8 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {createSocket, type Socket} from 'node:dgram';
-import {once} from 'node:events';
 import {type Cancel, type Logger, type TimerService} from '@fescuewick/core';
 import {splitAddress} from '@fescuewick/wire';
+import {listenAt} from '../server/listen.js';
 import {
 	decodeHeartbeat, encodeHeartbeat, type Heartbeat,
 } from './heartbeat.js';
@@ -41,12 +41,10 @@
 
 	/** Binds the socket and starts sending. */
 	async start(): Promise<void> {
-		const {host, port} = splitAddress(this.options.table.self.heartbeatAddress);
 		this.#socket.on('message', (datagram, {address}) => {
 			this.#receive(datagram, address);
 		});
-		this.#socket.bind(port, host);
-		await once(this.#socket, 'listening');
+		await listenAt(this.#socket, this.options.table.self.heartbeatAddress, this.options);
 		this.#socket.on('error', error => {
 			this.options.logger.warn({event: 'gossip-error', reason: error.message}, 'heartbeat socket failed');
 		});
--- a/packages/gateway/src/server/auxiliary-servers.ts
+++ b/packages/gateway/src/server/auxiliary-servers.ts
@@ -1,5 +1,4 @@
 import {type Buffer} from 'node:buffer';
-import {once} from 'node:events';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -7,7 +6,6 @@
 import restana from 'restana';
 import {type Metrics} from '@fescuewick/core';
 import {Collection} from '@fescuewick/store';
-import {splitAddress} from '@fescuewick/wire';
 import {type VmRecord} from '../model/records.js';
 import {type Replica} from '../state/replica.js';
 
@@ -102,10 +100,3 @@
 		response.writeHead(200, {'content-type': metrics.registry.contentType}).end(text);
 	}]]);
 }
-
-/** Starts listening at `ip:port`; resolves when the server listens. */
-export async function listenAt(server: Server, address: string): Promise<void> {
-	const {host, port} = splitAddress(address);
-	server.listen(port, host);
-	await once(server, 'listening');
-}
