Repeat the orders of a test until the second one reuses the connection

Three tests of broken-servers send two orders and need the second one on the connection of the first. Beside load all three failed once (0 runs where 1 was expected, 200 where 502 was). Cause: an order goes out only on a connection that was alive 200 ms ago, so on a busy machine it got a new one. With a pause of 250 ms between the two orders all three fail in the same way on an idle machine.

The tests now repeat both orders until the server sees one on a used connection; what they check of it is unchanged.

--- a/packages/gateway/src/broken-servers.test.ts
+++ b/packages/gateway/src/broken-servers.test.ts
@@ -178,6 +178,17 @@
 
 const order = {method: 'POST', body: 'x'};
 
+/** Sends two orders, one right after the other, until the second one goes out on the connection of the first; on a busy machine it may come too late for that. Returns the status of the first and the second answer. */
+async function answersOnReuse(call: Setup['call'], wasReused: () => boolean): Promise<{readonly firstStatus: number; readonly response: Response}> {
+	for (;;) {
+		const firstStatus = await statusOf(call('/reserve/1', {...order, headers: {'test-id': 'r-1'}}));
+		const response = await call('/reserve/1', {...order, headers: {'test-id': 'r-2'}});
+		if (wasReused()) {
+			return {firstStatus, response};
+		}
+	}
+}
+
 const repeatedRefusals: Record<string, string> = {
 	'with the id of the refused request': 'test-id: r-1\r\n',
 	'without an id': '',
@@ -194,8 +205,8 @@
 			// With free slots at the server, the refusal does not keep the gateway from sending the next request.
 			socket.write(`HTTP/1.1 503 Full\r\ntest-id: ${headerOf(request, 'test-id')}\r\ntest-not-run: 1\r\ntest-load: 0,0\r\ncontent-length: 0\r\n\r\n`);
 		}));
-		t.is(await statusOf(call('/reserve/1', {...order, headers: {'test-id': 'r-1'}})), 503);
-		const response = await call('/reserve/1', {...order, headers: {'test-id': 'r-2'}});
+		const {firstStatus, response} = await answersOnReuse(call, () => runs > 0);
+		t.is(firstStatus, 503);
 		t.is(runs, 1);
 		t.is(response.status, 502);
 		t.is(resultCodeOf(response), '1405');
@@ -204,12 +215,14 @@
 
 test('a second copy of an answer that comes late does not reach the next caller', async t => {
 	// Guards against an answer on a connection in use again that belongs to another caller.
+	let isReused = false;
 	const {call} = await startWith(t, repliesOnReuse((socket, request) => {
+		isReused = true;
 		answerOk(socket, {head: 'test-id: r-1', body: ''}, 'first');
 		answerOk(socket, request, 'second');
 	}));
-	t.is(await statusOf(call('/reserve/1', {...order, headers: {'test-id': 'r-1'}})), 200);
-	const response = await call('/reserve/1', {...order, headers: {'test-id': 'r-2'}});
+	const {firstStatus, response} = await answersOnReuse(call, () => isReused);
+	t.is(firstStatus, 200);
 	t.is(response.status, 502);
 	t.notRegex(await response.text(), /first/);
 });
