Bound what peers send in small pieces without end

What callers saw: six servers of one service that all send a body in chunks of one byte made the gateway process end with SIGABRT four times in 10 s; of the orders to another, sound service 9 were answered and 232 reset or refused. Header fields of a few bytes held the event loop for up to 2.4 s, 9 orders were answered and 3 got 504. 24 callers that send such a body ended the process three times.

Cause: a limit on bytes bounds neither memory nor processor time. A chunk of one byte that is kept takes over 100 bytes; the HTTP client's parser works through all that was read after it has found a head too long, and makes an error for each further field; a status line, trailers and extensions of chunks had no limit but the deadline. Ruled out: answers and bodies in large pieces, which are held back by their readers.

Change: buffered bodies are kept in one piece of memory. What a peer sends besides a body may take 32 KB and as many bytes as the body. Sockets of servers are read 4 KB at a time, and not at all once given up. Answers to probes, of the store and of other VMs have limits.

Before: of the new endless answers the body in chunks of one byte, the status line and the extension of a chunk were not cut off (3 of 11 tests failed). After: 34 of 34 tests of broken-servers and uploads pass; with real processes nothing ends, 132 of 132 and 101 of 101 orders are answered. With 24 such callers 24 of 24 orders are answered, the slowest after 3.4 s: the event loop is still late by up to 1.6 s, since Node.js calls back for each chunk of 64 KB.

--- a/packages/entry/src/backends/connections.ts
+++ b/packages/entry/src/backends/connections.ts
@@ -1,9 +1,16 @@
 import {type TimerService} from '@fescuewick/core';
 import {buildConnector, Client} from 'undici';
+import {FramingAllowance} from '../request/framing-allowance.js';
+import {boundReads} from './bounded-reads.js';
 
 /** Idle connections are not reused after this time, because Node.js servers close them after 5 s by default. */
 const idleTimeoutMs = 4000;
 
+/** Longest head of an answer unless the options say otherwise, in bytes; the default of the HTTP client. */
+const defaultMaxHeadBytes = 16_384;
+/** Bytes besides the body that an answer may have, as a multiple of the longest head: for informational answers, chunk sizes and trailers. */
+const framingHeads = 2;
+
 /** How a server ended a connection. */
 export enum ConnectionEnd {
 	orderly = 'orderly',
@@ -18,14 +25,14 @@
 	/** How the server ended the connection; undefined while it has not. */
 	end: ConnectionEnd | undefined;
 
-	constructor(readonly client: Client) {}
+	constructor(readonly client: Client, readonly allowance = new FramingAllowance(defaultMaxHeadBytes * framingHeads)) {}
 }
 
 /** Options of the connections to one backend server. */
 export type ConnectionOptions = {
 	readonly timers: TimerService;
 	readonly connectTimeoutMs: number;
-	/** Longest head of an answer, in bytes; the default is that of the HTTP client. */
+	/** Longest head of an answer, in bytes. */
 	readonly maxHeadBytes?: number;
 	/** Returns the number of connections that may be open now. */
 	readonly limit: () => number;
@@ -123,11 +130,13 @@
 	}
 
 	#connect(): BackendConnection {
-		const connector = buildConnector({timeout: this.options.connectTimeoutMs});
+		const {connectTimeoutMs, maxHeadBytes = defaultMaxHeadBytes} = this.options;
+		const connector = buildConnector({timeout: connectTimeoutMs});
+		const allowance = new FramingAllowance(maxHeadBytes * framingHeads);
 		const client: Client = new Client(this.origin, {
 			pipelining: 1,
 			keepAliveTimeout: idleTimeoutMs,
-			maxHeaderSize: this.options.maxHeadBytes,
+			maxHeaderSize: maxHeadBytes,
 			// The requests enforce their own deadlines.
 			headersTimeout: 0,
 			bodyTimeout: 0,
@@ -137,7 +146,11 @@
 					result[1]?.once('error', () => {
 						connection.end = ConnectionEnd.reset;
 					});
-					const [, socket] = result;
+					const [error, socket] = result;
+					if (error === null) {
+						boundReads(result[1], allowance);
+					}
+
 					socket?.once('end', () => {
 						// Libuv reports a reset that arrives together with data as an end; in that case the remote address is undefined.
 						connection.end ??= socket.remoteAddress === undefined ? ConnectionEnd.reset : ConnectionEnd.orderly;
@@ -146,7 +159,7 @@
 				});
 			},
 		});
-		const connection: BackendConnection = new BackendConnection(client);
+		const connection: BackendConnection = new BackendConnection(client, allowance);
 		client.on('disconnect', () => {
 			this.#onDisconnect(connection);
 		});
--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -39,6 +39,7 @@
 
 	/** Sends the request; must be called only once. */
 	send(request: OutgoingRequest): void {
+		this.connection.allowance.reset();
 		try {
 			this.connection.client.dispatch({
 				method: request.method, path: request.path, headers: request.headers, body: request.body ?? null,
@@ -90,6 +91,7 @@
 				}
 			},
 			onResponseData: (controller, chunk) => {
+				this.connection.allowance.recordBody(chunk.length);
 				if (!this.ended && !this.listener.onData(this, chunk)) {
 					controller.pause();
 				}
--- a/packages/entry/src/http.ts
+++ b/packages/entry/src/http.ts
@@ -1,7 +1,11 @@
 export * from './backends/connections.js';
+export * from './backends/bounded-reads.js';
 export * from './forward/attempt.js';
 export * from './forward/retry-budget.js';
 export * from './request/body-reader.js';
+export * from './request/byte-buffer.js';
+export * from './request/framing-allowance.js';
+export * from './request/read-bounded.js';
 export {answerHeaders, checkHeaderNames, forwardHeaders} from './request/headers.js';
 export * from './server/close-barrier.js';
 export * from './server/stop-listening.js';
--- a/packages/entry/src/request/body-reader.ts
+++ b/packages/entry/src/request/body-reader.ts
@@ -2,6 +2,8 @@
 import {type IncomingMessage} from 'node:http';
 import {Readable} from 'node:stream';
 import {FescuewickError, ResultCode, type TimerService} from '@fescuewick/core';
+import {ByteBuffer} from './byte-buffer.js';
+import {FramingAllowance} from './framing-allowance.js';
 
 /** Body of a request: empty, buffered in memory, or streamed with only its beginning buffered. */
 export type RequestBody = {
@@ -41,6 +43,9 @@
 /** Limits for reading a body. */
 export type BodyLimits = {readonly maxBodyBytes: number; readonly maxReplayBytes: number; readonly bodyTimeMs: number};
 
+/** What a request may have besides its body after the head, in bytes. */
+const maxFramingBytes = 32_768;
+
 /** The empty body. */
 export const noBody: RequestBody = {buffered: Buffer.alloc(0), stream: undefined, lengthBytes: 0};
 
@@ -56,42 +61,75 @@
 	}
 }
 
-/** Buffers a body up to the replay limit and leaves the rest as a stream; rejects with `requestTimeout`, `bodyTooLarge` or `callerLeft`. */
+/** Buffers a body up to the replay limit and leaves the rest as a stream; rejects with `requestTimeout`, `bodyTooLarge`, `malformedRequest` or `callerLeft`. */
 export async function readBody(request: IncomingMessage, limits: BodyLimits, timers: TimerService): Promise<RequestBody> {
 	checkBodyLength(request, limits.maxBodyBytes);
 	const declared = request.headers['content-length'];
 	const lengthBytes = declared === undefined ? undefined : Number(declared);
-	const {buffered, complete} = await readBuffered(request, limits, timers);
-	return {buffered, stream: complete ? undefined : streamBody(request, buffered, limits.maxBodyBytes), lengthBytes: complete ? buffered.length : lengthBytes};
+	const framing = new RequestFraming(request);
+	const {buffered, complete} = await readBuffered(request, limits, timers, framing);
+	return {buffered, stream: complete ? undefined : streamBody(request, buffered, limits.maxBodyBytes, framing), lengthBytes: complete ? buffered.length : lengthBytes};
 }
 
-async function readBuffered(request: IncomingMessage, {maxReplayBytes, bodyTimeMs}: BodyLimits, timers: TimerService): Promise<{buffered: Buffer; complete: boolean}> {
+/** Checks that a body does not come in chunks of a few bytes without end. */
+export class RequestFraming {
+	readonly #allowance = new FramingAllowance(maxFramingBytes);
+	#receivedBytes: number;
+
+	constructor(private readonly request: IncomingMessage) {
+		this.#receivedBytes = request.socket?.bytesRead ?? 0;
+	}
+
+	/** Records a chunk of the body; returns why the body must not be read any further, or undefined. */
+	record(chunk: Buffer): string | undefined {
+		const receivedBytes = this.request.socket?.bytesRead ?? 0;
+		this.#allowance.recordReceived(receivedBytes - this.#receivedBytes);
+		this.#receivedBytes = receivedBytes;
+		this.#allowance.recordBody(chunk.length);
+		return this.#allowance.problem;
+	}
+}
+
+function malformedBody(problem: string): FescuewickError {
+	return new FescuewickError(ResultCode.malformedRequest, `the body has ${problem}`);
+}
+
+async function readBuffered(request: IncomingMessage, {maxReplayBytes, bodyTimeMs}: BodyLimits, timers: TimerService, framing: RequestFraming): Promise<{buffered: Buffer; complete: boolean}> {
 	return new Promise((resolve, reject) => {
-		const chunks: Buffer[] = [];
-		let sizeBytes = 0;
+		const content = new ByteBuffer();
 		const finish = (settle: () => void) => {
 			cancel();
-			request.off('data', onData);
+			request.off('readable', onReadable);
 			request.off('end', onEnd);
 			request.off('close', onClose);
 			request.off('error', onClose);
 			settle();
 		};
 
-		const onData = (chunk: Buffer) => {
-			chunks.push(chunk);
-			sizeBytes += chunk.length;
-			if (sizeBytes > maxReplayBytes) {
-				request.pause();
-				finish(() => {
-					resolve({buffered: Buffer.concat(chunks), complete: false});
-				});
+		const onReadable = () => {
+			// Without a size, all chunks that have arrived are read as one.
+			for (let chunk = request.read() as Buffer | null; chunk !== null; chunk = request.read() as Buffer | null) {
+				content.append(chunk);
+				const problem = framing.record(chunk);
+				if (problem !== undefined) {
+					finish(() => {
+						reject(malformedBody(problem));
+					});
+					return;
+				}
+
+				if (content.sizeBytes > maxReplayBytes) {
+					finish(() => {
+						resolve({buffered: content.take(), complete: false});
+					});
+					return;
+				}
 			}
 		};
 
 		const onEnd = () => {
 			finish(() => {
-				resolve({buffered: Buffer.concat(chunks), complete: true});
+				resolve({buffered: content.take(), complete: true});
 			});
 		};
 
@@ -106,7 +144,7 @@
 				reject(new FescuewickError(ResultCode.requestTimeout, `the body did not arrive within ${bodyTimeMs} ms`));
 			});
 		});
-		request.on('data', onData);
+		request.on('readable', onReadable);
 		request.on('end', onEnd);
 		request.on('close', onClose);
 		request.on('error', onClose);
@@ -114,16 +152,21 @@
 }
 
 /** Streams the buffered beginning and the rest with backpressure from the backend server. */
-function streamBody(request: IncomingMessage, buffered: Buffer, maxBodyBytes: number): Readable {
-	return Readable.from(bodyChunks(request, buffered, maxBodyBytes), {objectMode: false, highWaterMark: 65_536});
+function streamBody(request: IncomingMessage, buffered: Buffer, maxBodyBytes: number, framing: RequestFraming): Readable {
+	return Readable.from(bodyChunks(request, buffered, maxBodyBytes, framing), {objectMode: false, highWaterMark: 65_536});
 }
 
-async function * bodyChunks(request: IncomingMessage, buffered: Buffer, maxBodyBytes: number): AsyncGenerator<Buffer> {
+async function * bodyChunks(request: IncomingMessage, buffered: Buffer, maxBodyBytes: number, framing: RequestFraming): AsyncGenerator<Buffer> {
 	yield buffered;
 	let sizeBytes = buffered.length;
 	// A server may answer before it has read the whole body; this must not close the caller's connection.
 	for await (const chunk of request.iterator({destroyOnReturn: false}) as AsyncIterable<Buffer>) {
 		sizeBytes += chunk.length;
+		const problem = framing.record(chunk);
+		if (problem !== undefined) {
+			throw malformedBody(problem);
+		}
+
 		if (sizeBytes > maxBodyBytes) {
 			throw new FescuewickError(ResultCode.bodyTooLarge, `the body is longer than ${maxBodyBytes} bytes`);
 		}
--- a/packages/gateway/src/broken-servers.test.ts
+++ b/packages/gateway/src/broken-servers.test.ts
@@ -87,6 +87,26 @@
 		socket.write('HTTP/1.1 200 OK\r\n');
 		writeEndlessly(socket, `x-filler: ${'x'.repeat(100)}\r\n`.repeat(10));
 	},
+	'header fields of a few bytes without end'(socket) {
+		socket.write('HTTP/1.1 200 OK\r\n');
+		writeEndlessly(socket, 'a:b\r\n'.repeat(2000));
+	},
+	'a status line without end'(socket) {
+		socket.write('HTTP/1.1 200 ');
+		writeEndlessly(socket, 'x'.repeat(1000));
+	},
+	'a body in chunks of one byte without end'(socket, request) {
+		socket.write(headOf(request, 'transfer-encoding: chunked'));
+		writeEndlessly(socket, '1\r\nx\r\n'.repeat(2000));
+	},
+	'an extension of a chunk without end'(socket, request) {
+		socket.write(`${headOf(request, 'transfer-encoding: chunked')}1;`);
+		writeEndlessly(socket, 'x'.repeat(1000));
+	},
+	'trailers without end'(socket, request) {
+		socket.write(`${headOf(request, 'transfer-encoding: chunked')}1\r\nx\r\n0\r\n`);
+		writeEndlessly(socket, 'a:b\r\n'.repeat(2000));
+	},
 	'informational answers without end'(socket) {
 		writeEndlessly(socket, 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(10));
 	},
--- a/packages/gateway/src/forward/answer-relay.ts
+++ b/packages/gateway/src/forward/answer-relay.ts
@@ -1,4 +1,4 @@
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type AdmittedRequest} from './admitted-request.js';
 import {validateAttemptAnswer} from './answer-classification.js';
 import {AnswerWriter} from './answer-writer.js';
@@ -41,13 +41,13 @@
 			return this.#forward(attempt, chunk);
 		}
 
-		attempt.chunks.push(Buffer.from(chunk));
+		attempt.buffered.append(chunk);
 		return attempt.sizeBytes <= maxBufferedBytes || this.#startStreaming(attempt);
 	}
 
 	/** Writes a buffered answer. */
-	writeBuffered({chunks, exchange}: BackendAttempt): void {
-		this.#writer.writeComplete(exchange.head!, Buffer.concat(chunks));
+	writeBuffered({buffered, exchange}: BackendAttempt): void {
+		this.#writer.writeComplete(exchange.head!, buffered.take());
 	}
 
 	/** Ends a streamed answer. */
@@ -67,9 +67,7 @@
 		onStreaming(attempt);
 		openAttempts.cancelOthers(attempt);
 		this.#writer.writeHead(attempt.exchange.head!);
-		const {chunks} = attempt;
-		attempt.chunks = [];
-		return this.#forward(attempt, Buffer.concat(chunks));
+		return this.#forward(attempt, attempt.buffered.take());
 	}
 
 	/** Ends an attempt whose answer must not be passed on any further. */
--- a/packages/gateway/src/forward/backend-attempt.ts
+++ b/packages/gateway/src/forward/backend-attempt.ts
@@ -1,5 +1,5 @@
 import {type Buffer} from 'node:buffer';
-import {Attempt} from '@fescuewick/entry/http';
+import {Attempt, ByteBuffer} from '@fescuewick/entry/http';
 import {type Backend} from '../placement/backend.js';
 import {type ServerStart} from '../placement/server-statements.js';
 import {type AdmittedRequest} from './admitted-request.js';
@@ -16,8 +16,8 @@
 	/** Start of the server to which it was sent; the server may have been restarted when the answer arrives. */
 	readonly serverStart: ServerStart;
 	readonly sentAtMs: number;
-	/** Buffered chunks of the answer; empty once it is streamed. */
-	chunks: Buffer[];
+	/** Buffered part of the answer; empty once it is streamed. */
+	readonly buffered: ByteBuffer;
 	sizeBytes: number;
 	/** Whether the answer is being streamed to the caller. */
 	isStreaming: boolean;
@@ -55,7 +55,7 @@
 		},
 	});
 	const attempt: BackendAttempt = {
-		exchange, backend, serverStart: backend.start, sentAtMs: nowMs, chunks: [], sizeBytes: 0, isStreaming: false,
+		exchange, backend, serverStart: backend.start, sentAtMs: nowMs, buffered: new ByteBuffer(), sizeBytes: 0, isStreaming: false,
 	};
 	return attempt;
 }
--- a/packages/gateway/src/forward/error-answer.ts
+++ b/packages/gateway/src/forward/error-answer.ts
@@ -3,6 +3,7 @@
 import {
 	errorBody, resultCodeTable, type ResultCode, type TimerService,
 } from '@fescuewick/core';
+import {RequestFraming} from '@fescuewick/entry/http';
 
 /** Answers whose callers were told to send the body. */
 const continued = new WeakSet<ServerResponse>();
@@ -74,6 +75,14 @@
 			socket.end();
 		}
 	});
-	request.on('data', () => undefined);
-	request.resume();
+	const framing = new RequestFraming(request);
+	request.on('readable', () => {
+		for (let chunk = request.read() as Buffer | null; chunk !== null; chunk = request.read() as Buffer | null) {
+			if (framing.record(chunk) !== undefined) {
+				// Reading such a body to its end would keep the process busy, so its caller may lose the answer.
+				socket.destroy();
+				return;
+			}
+		}
+	});
 }
--- a/packages/gateway/src/forward/forwarded-request.test.ts
+++ b/packages/gateway/src/forward/forwarded-request.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import {ManualTimerService} from '@fescuewick/core';
 import {
-	CloseBarrier, noBody, type BackendConnection, type ConnectionPool,
+	BackendConnection, CloseBarrier, noBody, type ConnectionPool,
 } from '@fescuewick/entry/http';
 import {RequestQueues} from '../admission/request-queues.js';
 import {WorkspaceLimiter} from '../limits/workspace-limiter.js';
@@ -33,13 +33,12 @@
 	const connections = {
 		acquire() {
 			onAcquire(queues);
-			return {
-				client: {
-					dispatch(options: {path: string}) {
-						sent.push(options.path);
-					},
+			const client = {
+				dispatch(options: {path: string}) {
+					sent.push(options.path);
 				},
-			} as unknown as BackendConnection;
+			};
+			return new BackendConnection(client as unknown as BackendConnection['client']);
 		},
 	} as unknown as ConnectionPool;
 	const backends = ['s1', 's2'].map(id => new Backend({record: backendRecord(id, {slots: 100}), receivedAtMs: 0}, 'north', connections));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,4 @@
 import {performance} from 'node:perf_hooks';
-import {Agent} from 'undici';
 import {
 	Metrics, type Cancel, type Logger, type TimerService,
 } from '@fescuewick/core';
@@ -22,7 +21,7 @@
 import {ServerNoticeKind} from './peers/server-notice.js';
 import {Placer} from './placement/placer.js';
 import {type ShiftedFractions} from './placement/region-plan.js';
-import {Prober} from './placement/prober.js';
+import {createProbeAgent, Prober} from './placement/prober.js';
 import {RegionalDemand, SlotDemandMeter, type SlotDemand} from './placement/slot-demand-meter.js';
 import {EventLoopDelay} from './server/event-loop-delay.js';
 import {registerGauges} from './server/gauges.js';
@@ -84,7 +83,7 @@
 	readonly #latency = new RouteLatency();
 	readonly #placer: Placer;
 	readonly #prober: Prober;
-	readonly #probeAgent = new Agent({pipelining: 1, connect: {timeout: 500}});
+	readonly #probeAgent = createProbeAgent();
 	readonly #handler: RequestHandler;
 	readonly #frontServer;
 	readonly #auxiliaryServers;
--- a/packages/gateway/src/peers/peer-client.ts
+++ b/packages/gateway/src/peers/peer-client.ts
@@ -1,7 +1,7 @@
-import {Buffer} from 'node:buffer';
 import {decode} from 'cbor-x';
 import {Agent, request} from 'undici';
 import {FescuewickError, ResultCode} from '@fescuewick/core';
+import {readBounded} from '@fescuewick/entry/http';
 import {type Collection} from '@fescuewick/store';
 import {type VmRecord} from '../model/records.js';
 import {type ReplicaDelta, type ReplicaSnapshot} from '../state/replica.js';
@@ -11,6 +11,9 @@
 /** Idle connections are closed after this time, in milliseconds, whatever the peer proposes, so that a call does not wait on one that has gone silent. */
 const idleTimeoutMs = 1000;
 
+/** Longest answer of a peer, in bytes. */
+const maxAnswerBytes = 33_554_432;
+
 /** Reads collections and known VMs from peers. */
 export class PeerClient {
 	readonly #agent = new Agent({
@@ -43,7 +46,7 @@
 
 	async #get(peerAddress: string, path: string): Promise<unknown> {
 		const {statusCode, body} = await request(`http://${peerAddress}${path}`, {dispatcher: this.#agent, signal: AbortSignal.timeout(callTimeoutMs)});
-		const content = Buffer.from(await body.arrayBuffer());
+		const content = await readBounded(body, maxAnswerBytes, ResultCode.frameMalformed);
 		if (statusCode !== 200) {
 			throw new FescuewickError(ResultCode.peerClosed, `${peerAddress} answered ${path} with status ${statusCode}`);
 		}
--- a/packages/gateway/src/placement/prober.ts
+++ b/packages/gateway/src/placement/prober.ts
@@ -1,5 +1,6 @@
-import {request, type Dispatcher} from 'undici';
+import {Agent, request, type Dispatcher} from 'undici';
 import {type Cancel, type Logger, type TimerService} from '@fescuewick/core';
+import {shortAnswerConnector} from '@fescuewick/entry/http';
 import {type HeaderDialect} from '../forward/header-dialect.js';
 import {type Backend, ConditionEvent} from './backend.js';
 import {StatementSource} from './backend-statements.js';
@@ -10,6 +11,16 @@
 /** Probe timeout; a probe may wait for a slot at the server. */
 const probeTimeoutMs = 900;
 
+/** Time limit for the connection of a probe, in milliseconds. */
+const connectTimeoutMs = 500;
+/** Longest answer to a probe with its head, in bytes. */
+const maxAnswerBytes = 65_536;
+
+/** Creates the HTTP client of the probes; each probe has a connection of its own. */
+export function createProbeAgent(): Agent {
+	return new Agent({pipelining: 1, connect: shortAnswerConnector({connectTimeoutMs, maxAnswerBytes})});
+}
+
 type ProberOptions = {
 	readonly placer: Placer;
 	readonly timers: TimerService;
--- a/packages/gateway/src/uploads.test.ts
+++ b/packages/gateway/src/uploads.test.ts
@@ -210,3 +210,25 @@
 		socket.destroy();
 	}
 });
+
+for (const [moment, maxBufferedBytes] of [['buffered', 33_554_432], ['streamed', 1]] as const) {
+	test(`an upload in chunks of one byte without end that is ${moment} is cut off`, async t => {
+		// Guards against memory and processor time that a caller takes with pieces that each cost far more than their bytes.
+		const {options: {host, port}} = await startWith(t, [() => undefined], {maxBufferedBytes});
+		const socket = connect(port, host);
+		socket.write('POST /upload/1 HTTP/1.1\r\nhost: 127.0.0.1\r\ntest-key: key-acme\r\ntransfer-encoding: chunked\r\n\r\n');
+		const pieces = '1\r\nx\r\n'.repeat(1000);
+		const timer = setInterval(() => {
+			if (socket.writableLength < 1_000_000) {
+				socket.write(pieces);
+			}
+		}, 1);
+		// The connection may end with a reset.
+		socket.on('error', () => undefined);
+		const startedAtMs = performance.now();
+		await waitUntil(() => socket.closed);
+		clearInterval(timer);
+		t.true(performance.now() - startedAtMs < uploadRoute.timeoutMs, 'before the deadline');
+		t.true(socket.bytesWritten < 4_000_000, `${socket.bytesWritten} bytes`);
+	});
+}
