Log errors that nothing handles instead of ending the process

Cause: an error or a rejection that nothing handles ends a Node.js process. Ruled out as the sole remedy: to find each such place; the stop of a VM costs all its callers, while the error concerns one request or message.

Change: such errors are logged as unexpected-error with their stack and origin, and the process goes on. Errors of the start and of settings end it as before.

Before: the new test's daemon ended with code 1.

--- a/packages/core/src/run-daemon.test.ts
+++ b/packages/core/src/run-daemon.test.ts
@@ -18,6 +18,7 @@
 	description: 'A daemon that takes a while to stop',
 	settingsSchema: z.object({size: z.number(), startMs: z.number().default(0)}),
 	settingsVariable: 'TEST_SETTINGS',
+	logsTo: 'stdout',
 	async start(settings) {
 		console.log('starting');
 		await new Promise(resolve => setTimeout(resolve, settings.startMs));
@@ -25,6 +26,11 @@
 		return {
 			reload(changed) {
 				console.log('reloaded ' + changed.size);
+				if (changed.size === 13) {
+					setTimeout(() => { throw new Error('in a timer'); }, 0);
+					void Promise.reject(new Error('in a promise'));
+					setTimeout(() => console.log('went on'), 50);
+				}
 			},
 			async stop() {
 				console.log('stopping');
@@ -39,10 +45,10 @@
 /** Longest wait for a line of a daemon, in milliseconds; far above what a busy machine needs. */
 const printTimeoutMs = 20_000;
 
-function startDaemon(settings = 'size: 1\n', loadMs = 0) {
+function startDaemon(settings = 'size: 1\n', loadMs = 0, logLevel = 'silent') {
 	const settingsFile = path.join(mkdtempSync(path.join(tmpdir(), 'run-daemon-')), 'settings.yaml');
 	writeFileSync(settingsFile, settings);
-	const env = Object.fromEntries([...Object.entries(process.env), ['TEST_SETTINGS', settingsFile], ['TEST_LOAD_MS', String(loadMs)], ['FESCUEWICK_LOG', 'silent']]);
+	const env = Object.fromEntries([...Object.entries(process.env), ['TEST_SETTINGS', settingsFile], ['TEST_LOAD_MS', String(loadMs)], ['FESCUEWICK_LOG', logLevel]]);
 	const child = spawn(process.execPath, ['--input-type=module', '-e', daemon], {env, stdio: ['ignore', 'pipe', 'inherit']});
 	let output = '';
 	child.stdout.on('data', chunk => {
@@ -130,6 +136,19 @@
 	t.true(performance.now() - signalledAtMs < 6000);
 });
 
+test('errors that nothing handles are logged and do not end the process', async t => {
+	// Guards against an unexpected error in the work on one request that ends the work on all others.
+	const {settingsFile, child, ended, printed} = startDaemon('size: 1\n', 0, 'error');
+	await printed('started 1');
+	writeFileSync(settingsFile, 'size: 13\n');
+	child.kill('SIGHUP');
+	await printed('went on');
+	child.kill('SIGTERM');
+	t.is(await ended, 'code 0');
+	await printed('"origin":"uncaughtException"');
+	await printed('"origin":"unhandledRejection"');
+});
+
 test('changed settings are read on SIGHUP and without a signal; with invalid ones the current ones stay in force', async t => {
 	const {settingsFile, child, ended, printed} = startDaemon();
 	await printed('started 1');
--- a/packages/core/src/run-daemon.ts
+++ b/packages/core/src/run-daemon.ts
@@ -48,6 +48,7 @@
 	const {settings: file} = program.parse().opts<{settings: string}>();
 	const logger = createLogger(definition.name, undefined, definition.logsTo);
 	const timers = new SystemTimerService();
+	containUnexpectedErrors(logger);
 	try {
 		const read: SettingsRead = {hangups: signals.hangups, modifiedAtMs: modifiedAtMs(file)};
 		const settings = readSettings(file, definition.settingsSchema);
@@ -76,6 +77,13 @@
 	process.exit();
 }
 
+/** Logs errors that nothing handled, instead of ending the process: an error in the work on one request or message must not end the work on all others. */
+function containUnexpectedErrors(logger: Logger): void {
+	process.on('uncaughtException', (error, origin) => {
+		logger.error({event: 'unexpected-error', origin, err: error}, 'an error was not handled; the process goes on');
+	});
+}
+
 /** State of the signals and of the settings file when the settings were read. */
 type SettingsRead = {readonly hangups: number; readonly modifiedAtMs: number | undefined};
 
