Do not count a caller's next requests as framing of its body

A caller that sends over 32 KB of further requests behind the end of a body got 400 for the body: the bytes that the socket had received were taken for framing.

Cause: the socket reads ahead of the parser. Change: only chunked bodies are checked, and their framing is estimated from the number of chunks; the allowance of requests is 8 KB.

--- a/packages/entry/src/request/body-reader.ts
+++ b/packages/entry/src/request/body-reader.ts
@@ -43,8 +43,10 @@
 /** Limits for reading a body. */
 export type BodyLimits = {readonly maxBodyBytes: number; readonly maxReplayBytes: number; readonly bodyTimeMs: number};
 
-/** What a request may have besides its body after the head, in bytes. */
-const maxFramingBytes = 32_768;
+/** Allowance for the chunk sizes of a request's body, in bytes. */
+const maxFramingBytes = 8192;
+/** Least bytes that a chunk takes besides its content: a digit and two line ends. */
+const minChunkFramingBytes = 5;
 
 /** The empty body. */
 export const noBody: RequestBody = {buffered: Buffer.alloc(0), stream: undefined, lengthBytes: 0};
@@ -71,20 +73,22 @@
 	return {buffered, stream: complete ? undefined : streamBody(request, buffered, limits.maxBodyBytes, framing), lengthBytes: complete ? buffered.length : lengthBytes};
 }
 
-/** Checks that a body does not come in chunks of a few bytes without end. */
+/** Checks that a chunked body does not come in chunks of a few bytes without end. The bytes of its chunk sizes are estimated, because what the socket has received may hold the caller's next requests. */
 export class RequestFraming {
 	readonly #allowance = new FramingAllowance(maxFramingBytes);
-	#receivedBytes: number;
+	readonly #isChunked: boolean;
 
-	constructor(private readonly request: IncomingMessage) {
-		this.#receivedBytes = request.socket?.bytesRead ?? 0;
+	constructor({headers}: IncomingMessage) {
+		this.#isChunked = headers['transfer-encoding'] !== undefined;
 	}
 
 	/** Records a chunk of the body; returns why the body must not be read any further, or undefined. */
 	record(chunk: Buffer): string | undefined {
-		const receivedBytes = this.request.socket?.bytesRead ?? 0;
-		this.#allowance.recordReceived(receivedBytes - this.#receivedBytes);
-		this.#receivedBytes = receivedBytes;
+		if (!this.#isChunked) {
+			return undefined;
+		}
+
+		this.#allowance.recordReceived(chunk.length + minChunkFramingBytes);
 		this.#allowance.recordBody(chunk.length);
 		return this.#allowance.problem;
 	}
--- a/packages/gateway/src/uploads.test.ts
+++ b/packages/gateway/src/uploads.test.ts
@@ -232,3 +232,28 @@
 		t.true(socket.bytesWritten < 4_000_000, `${socket.bytesWritten} bytes`);
 	});
 }
+
+const splitBodies = {
+	'with a length': ['content-length: 10\r\n\r\n12345', '67890'],
+	'in chunks': ['transfer-encoding: chunked\r\n\r\n5\r\n12345\r\n', '5\r\n67890\r\n0\r\n\r\n'],
+} as const;
+
+for (const [kind, [beginning, end]] of Object.entries(splitBodies)) {
+	test(`requests that follow a body ${kind} on its connection are not taken for a part of it`, async t => {
+		// Guards against an upload that is refused because its caller sent its next requests before it had the answer.
+		const {servers, options: {host, port}} = await startWith(t, [answerOk]);
+		const socket = connect(port, host);
+		t.teardown(() => socket.destroy());
+		let answers = '';
+		socket.on('data', chunk => {
+			answers += String(chunk);
+		});
+		const head = 'POST /upload/1 HTTP/1.1\r\nhost: 127.0.0.1\r\ntest-key: key-acme\r\n';
+		socket.write(`${head}${beginning}`);
+		await sleep(50);
+		socket.write(`${end}${`GET /none/1 HTTP/1.1\r\nhost: 127.0.0.1\r\nx-filler: ${'x'.repeat(8000)}\r\n\r\n`.repeat(20)}`);
+		await waitUntil(() => answers.includes('HTTP/1.1'));
+		t.regex(answers, /^HTTP\/1\.1 200 /);
+		t.is(servers[0].requests[0].body, '1234567890');
+	});
+}
