Report how old the replicas of a VM are

Heartbeats carry the age of a VM's own readings and the revision up to which they show changes; a peer whose replica reaches that revision is complete as of then as well.

The format of heartbeats is numbered 4.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,6 +34,8 @@
 import {type GatewaySettings} from './settings.js';
 import {FleetState} from './state/fleet-state.js';
 import {followedCollections} from './state/followed-collections.js';
+import {type StoreReading} from './state/replica.js';
+import {ReplicaAgeMonitor} from './state/replica-age-monitor.js';
 import {StoreFollowers} from './state/store-followers.js';
 import {StoreCircuitBreaker} from './state/store-circuit-breaker.js';
 import {StoreReaderRole} from './state/store-reader-role.js';
@@ -209,7 +211,7 @@
 		const unknownValues = this.#metrics.gauge('fescuewick_configuration_unknown_values', 'Values of the configuration in force that this version does not know and reads with the safest meaning');
 		unknownValues.set(0);
 		registerGauges({
-			metrics: this.#metrics, placer: this.#placer, handler: this.#handler, timers,
+			metrics: this.#metrics, placer: this.#placer, handler: this.#handler, replicas: this.#state.replicas, timers,
 		});
 		this.#state.events.on('configuration', index => {
 			unknownValues.set(index.configuration.unknownValues?.length ?? 0);
@@ -241,11 +243,15 @@
 		const eventLoopDelay = new EventLoopDelay({
 			metrics: this.#metrics, timers, logger, intervalMs: checkIntervalMs,
 		});
+		const replicaAges = new ReplicaAgeMonitor({
+			replicas: this.#state.replicas, timers, logger, storeAccess: () => this.#readerRole.access,
+		});
 		this.#cancels.push(
 			timers.repeat(checkIntervalMs, () => {
 				eventLoopDelay.check();
 				this.#peers.expire();
 				this.#readerRole.update();
+				replicaAges.check();
 			}),
 			timers.repeat(measureIntervalMs, () => {
 				this.#limiter.update(new Set(this.#peers.limitSharers().map(({vm}) => vm)));
@@ -322,12 +328,25 @@
 			isReady: this.isReady,
 			storeAccess: this.#readerRole.access,
 			revisions: Object.fromEntries(followedCollections.map(collection => [collection, this.#state.replicas[collection].advertisedRevisions])),
+			storeReadings: this.#storeReadings(),
 			buckets: this.#limiter.reports(isFull, scope === HeartbeatScope.fleet),
 			slotDemand: this.#ownDemand(),
 			shiftedFractions: this.#placer.shiftedFractions(),
 		};
 	}
 
+	#storeReadings(): Record<string, StoreReading> {
+		const readings: Record<string, StoreReading> = {};
+		for (const collection of followedCollections) {
+			const {reading} = this.#state.replicas[collection];
+			if (reading !== undefined) {
+				readings[collection] = reading;
+			}
+		}
+
+		return readings;
+	}
+
 	/** Demand of the callers of this VM, in slots. */
 	#ownDemand(): SlotDemand {
 		return this.#slotDemandMeter.slots(service => this.#latency.typicalMs(service, initialDurationMs));
--- a/packages/gateway/src/peers/heartbeat.test.ts
+++ b/packages/gateway/src/peers/heartbeat.test.ts
@@ -15,6 +15,7 @@
 	revisions: {
 		[Collection.configurations]: {valid: 9, changed: 4}, [Collection.backends]: {valid: 9, changed: 9}, [Collection.evacuations]: {valid: -1, changed: -1},
 	},
+	storeReadings: {[Collection.configurations]: {changedBy: 9, ageMs: 340}, [Collection.backends]: {changedBy: 9, ageMs: 0}},
 	buckets: {acme: {passed: 812, askedPerS: 12.5, tokens: 30}, other: {passed: 0, askedPerS: 1, tokens: undefined}},
 	slotDemand: {free: {stock: 3.5}, bound: {south: {stock: 0.5, list: 2}, west: {list: 1}}},
 	shiftedFractions: {stock: {south: 0.25, west: 0.1}, list: {south: 0.05}},
@@ -26,7 +27,7 @@
 
 test('a datagram of another format is not decoded as a heartbeat', t => {
 	// Guards against a foreign datagram that ends the process with an exception.
-	for (const datagram of [Buffer.alloc(0), Buffer.from('hello'), encode([3, 2]), encode([2, 1, 1, true, 0, [], [], [], [], [], []]), encode([3, 'x', 1, true, 0, [], [], [], [], [], []])]) {
+	for (const datagram of [Buffer.alloc(0), Buffer.from('hello'), encode([3, 2]), encode([3, 1, 1, true, 0, [], [], [], [], [], []]), encode([2, 1, 1, true, 0, [], [], [], [], [], [], []]), encode([4, 'x', 1, true, 0, [], [], [], [], [], [], []])]) {
 		t.is(decodeHeartbeat(datagram), undefined);
 	}
 });
--- a/packages/gateway/src/peers/heartbeat.ts
+++ b/packages/gateway/src/peers/heartbeat.ts
@@ -5,7 +5,7 @@
 import {type ShiftedFractions} from '../placement/region-plan.js';
 import {type SlotDemand, type SlotsByService} from '../placement/slot-demand-meter.js';
 import {followedCollections} from '../state/followed-collections.js';
-import {type ReplicaRevisions} from '../state/replica.js';
+import {type ReplicaRevisions, type StoreReading} from '../state/replica.js';
 import {type StoreAccess} from './store-readers.js';
 
 /** State that a VM sends to its peers at short intervals. */
@@ -20,6 +20,8 @@
 	readonly storeAccess: StoreAccess;
 	/** Revisions of the replicas by collection. */
 	readonly revisions: Readonly<Record<string, ReplicaRevisions>>;
+	/** What the store last showed to the VM, by collection; a collection is missing while the store has shown nothing. */
+	readonly storeReadings: Readonly<Record<string, StoreReading>>;
 	/** Token bucket reports of the workspaces with a rate limit. */
 	readonly buckets: BucketReports;
 	/** Demand of the VM's callers, in slots. */
@@ -28,17 +30,21 @@
 	readonly shiftedFractions: ShiftedFractions;
 };
 
-const formatVersion = 3;
-const fieldCount = 11;
+const formatVersion = 4;
+const fieldCount = 12;
 /** Rates and slots are encoded in tenths, fractions in hundredths. */
 const rateScale = 10;
 const fractionScale = 100;
+/** Ages are encoded in this unit, in milliseconds. */
+const ageUnitMs = 10;
+/** Older readings confirm nothing that a peer could act on and are left out, in milliseconds. */
+const maxReadingAgeMs = 10_000;
 
 /** Flat list of alternating names and numbers, because maps would repeat the field names. */
 type FlatEntries = ReadonlyArray<string | number | null>;
 
 /** Encodes a heartbeat as one datagram; fields are encoded by position, because their names would take most of the bytes. */
-export function encodeHeartbeat({record, incarnation, sequence, isReady, storeAccess, revisions, buckets, slotDemand, shiftedFractions}: Heartbeat): Buffer {
+export function encodeHeartbeat({record, incarnation, sequence, isReady, storeAccess, revisions, storeReadings, buckets, slotDemand, shiftedFractions}: Heartbeat): Buffer {
 	const flatRevisions = followedCollections.flatMap(collection => [revisions[collection].valid, revisions[collection].changed]);
 	return encode([
 		formatVersion,
@@ -52,6 +58,7 @@
 		flattenSlots(slotDemand.free),
 		Object.entries(slotDemand.bound).flatMap(([region, bound]) => chunksOf(flattenSlots(bound), 2).flatMap(([service, slots]) => [region, service, slots])),
 		Object.entries(shiftedFractions).flatMap(([service, fractions]) => Object.entries(fractions).flatMap(([region, fraction]) => [service, region, Math.round(fraction * fractionScale)])),
+		followedCollections.flatMap(collection => encodeReading(storeReadings[collection], revisions[collection])),
 	]);
 }
 
@@ -68,8 +75,8 @@
 		return undefined;
 	}
 
-	const [, incarnation, sequence, isReady, storeAccess, flatRevisions, recordFields, buckets, freeDemand, bound, shifted] = fields as [number, number, number, boolean, StoreAccess, number[], string[], FlatEntries, FlatEntries, FlatEntries, FlatEntries];
-	if (typeof incarnation !== 'number' || recordFields?.length !== 6 || ![flatRevisions, recordFields, buckets, freeDemand, bound, shifted].every(field => Array.isArray(field))) {
+	const [, incarnation, sequence, isReady, storeAccess, flatRevisions, recordFields, buckets, freeDemand, bound, shifted, flatReadings] = fields as [number, number, number, boolean, StoreAccess, number[], string[], FlatEntries, FlatEntries, FlatEntries, FlatEntries, FlatEntries];
+	if (typeof incarnation !== 'number' || recordFields?.length !== 6 || ![flatRevisions, recordFields, buckets, freeDemand, bound, shifted, flatReadings].every(field => Array.isArray(field))) {
 		return undefined;
 	}
 
@@ -80,19 +87,38 @@
 		return undefined;
 	}
 
+	const revisions = Object.fromEntries(followedCollections.map((collection, index) => [collection, {valid: flatRevisions[index * 2], changed: flatRevisions[(index * 2) + 1]}]));
 	return {
 		record,
 		incarnation,
 		sequence,
 		isReady,
 		storeAccess,
-		revisions: Object.fromEntries(followedCollections.map((collection, index) => [collection, {valid: flatRevisions[index * 2], changed: flatRevisions[(index * 2) + 1]}])),
+		revisions,
+		storeReadings: readReadings(flatReadings, revisions),
 		buckets: Object.fromEntries(chunksOf(buckets, 4).map(([workspace, passed, askedPerS, tokens]) => [String(workspace), {passed: Number(passed), askedPerS: Number(askedPerS) / rateScale, tokens: tokens === null ? undefined : Number(tokens)}])),
 		slotDemand: {free: readSlots(freeDemand), bound: readBound(bound)},
 		shiftedFractions: readShiftedFractions(shifted),
 	};
 }
 
+/** Age and revision of a reading; the revision relative to that of the last change, from which it rarely differs. */
+function encodeReading(reading: StoreReading | undefined, {changed}: ReplicaRevisions): FlatEntries {
+	return reading === undefined || reading.ageMs > maxReadingAgeMs ? [null, 0] : [Math.ceil(reading.ageMs / ageUnitMs), reading.changedBy - changed];
+}
+
+function readReadings(flat: FlatEntries, revisions: Readonly<Record<string, ReplicaRevisions>>): Record<string, StoreReading> {
+	const readings: Record<string, StoreReading> = {};
+	for (const [index, [age, changedAfter]] of chunksOf(flat, 2).slice(0, followedCollections.length).entries()) {
+		const collection = followedCollections[index];
+		if (typeof age === 'number' && age >= 0 && typeof changedAfter === 'number') {
+			readings[collection] = {changedBy: revisions[collection].changed + changedAfter, ageMs: age * ageUnitMs};
+		}
+	}
+
+	return readings;
+}
+
 /** Flat list of alternating services and slots, without services whose slots round to 0. */
 function flattenSlots(slotsByService: SlotsByService): FlatEntries {
 	return Object.entries(slotsByService).map(([service, slots]) => [service, Math.round(slots * rateScale)] as const).filter(([, slots]) => slots > 0).flat();
--- a/packages/gateway/src/peers/malformed-messages.test.ts
+++ b/packages/gateway/src/peers/malformed-messages.test.ts
@@ -25,7 +25,7 @@
 	}));
 });
 
-const well: unknown[] = [3, 1, 1, true, 'reading', [1, 1, 1, 1, 1, 1], ['a2', 'north-1', 'north', '127.0.0.1:9', '127.0.0.1:9', '127.0.0.1:9'], [], [], [], []];
+const well: unknown[] = [4, 1, 1, true, 'reading', [1, 1, 1, 1, 1, 1], ['a2', 'north-1', 'north', '127.0.0.1:9', '127.0.0.1:9', '127.0.0.1:9'], [], [], [], [], [34, 0, null, 0, 0, 5]];
 
 test('a heartbeat with a field of another type is not decoded', t => {
 	t.not(decodeHeartbeat(encode(well)), undefined);
@@ -39,13 +39,21 @@
 	}
 });
 
+test('a malformed reading of the store in a heartbeat is left out', t => {
+	// Guards against a VM that takes its state for current because of a message that says nothing.
+	t.deepEqual(decodeHeartbeat(encode(well))?.storeReadings, {configurations: {changedBy: 1, ageMs: 340}, evacuations: {changedBy: 6, ageMs: 0}});
+	for (const age of [[], '', true, -1, null, {}, Number.NaN]) {
+		t.deepEqual(decodeHeartbeat(encode(well.with(11, [age, 0])))?.storeReadings, {});
+	}
+});
+
 test('a VM lives on when it receives malformed datagrams', async t => {
 	const {gateway, settings, call} = await startGateway();
 	const [host, port] = settings.listen.heartbeats.split(':');
 	const socket = createSocket('udp4');
 	const samples = [
 		...fc.sample(fc.uint8Array({maxLength: 40}), 200).map(bytes => Buffer.from(bytes)),
-		...fc.sample(fc.tuple(fc.integer({min: 4, max: 10}), fc.jsonValue()), 300).map(([index, value]) => Buffer.concat([Buffer.of(3), encode(well.with(index, value))])),
+		...fc.sample(fc.tuple(fc.integer({min: 4, max: 11}), fc.jsonValue()), 300).map(([index, value]) => Buffer.concat([Buffer.of(3), encode(well.with(index, value))])),
 		Buffer.concat([Buffer.of(9), encode(['leaving', 's1', 1])]),
 	];
 	for (const sample of samples) {
--- a/packages/gateway/src/peers/replica-sync.ts
+++ b/packages/gateway/src/peers/replica-sync.ts
@@ -31,10 +31,14 @@
 	constructor(private readonly options: ReplicaSyncOptions) {}
 
 	/** Compares a peer's revisions with those of the replicas and fetches missing changes; a replica that lacks none is complete up to the peer's revision. */
-	onHeartbeat({record, storeAccess, revisions}: Heartbeat): void {
+	onHeartbeat({record, storeAccess, revisions, storeReadings}: Heartbeat): void {
 		for (const collection of followedCollections) {
 			const replica = this.options.replicas[collection];
 			replica.confirm(revisions[collection]);
+			if (storeReadings[collection] !== undefined) {
+				replica.confirmPeerReading(storeReadings[collection]);
+			}
+
 			if (!this.#running.has(collection) && replica.isBehind(revisions[collection])) {
 				this.#running.add(collection);
 				const isReaderOfOwnRegion = record.region === this.options.region && storeAccess === StoreAccess.reading;
--- a/packages/gateway/src/server/gauges.ts
+++ b/packages/gateway/src/server/gauges.ts
@@ -3,17 +3,20 @@
 import {type Metrics, type TimerService} from '@fescuewick/core';
 import {Condition} from '../placement/backend.js';
 import {type Placer} from '../placement/placer.js';
+import {followedCollections} from '../state/followed-collections.js';
+import {type FleetState} from '../state/fleet-state.js';
 import {type RequestHandler} from './request-handler.js';
 
 type GaugeSources = {
 	readonly metrics: Metrics;
 	readonly placer: Placer;
 	readonly handler: RequestHandler;
+	readonly replicas: FleetState['replicas'];
 	readonly timers: TimerService;
 };
 
-/** Registers gauges that are computed when metrics are read: backend servers by condition, and memory for bodies. */
-export function registerGauges({metrics: {registry}, placer, handler, timers}: GaugeSources): void {
+/** Registers gauges that are computed when metrics are read: backend servers by condition, memory for bodies, and ages of replicas. */
+export function registerGauges({metrics: {registry}, placer, handler, replicas, timers}: GaugeSources): void {
 	const registers = [registry];
 	const backends = new Gauge({
 		name: 'fescuewick_backends',
@@ -35,4 +38,15 @@
 			bodies.set(handler.bufferedBytes);
 		},
 	});
+	const ages = new Gauge({
+		name: 'fescuewick_replica_age_seconds',
+		help: 'Time since the collection is known to have been in the state that this VM acts on',
+		labelNames: ['collection'],
+		registers,
+		collect() {
+			for (const collection of followedCollections) {
+				ages.set({collection}, (timers.nowMs() - replicas[collection].confirmedAtMs) / 1000);
+			}
+		},
+	});
 }
--- a/packages/gateway/src/state/replica.ts
+++ b/packages/gateway/src/state/replica.ts
@@ -15,6 +15,14 @@
 	readonly changed: number;
 };
 
+/** What an answer of the store to a VM showed about a collection, as sent to peers. */
+export type StoreReading = {
+	/** The last change that the answer could show happened at or before this revision. */
+	readonly changedBy: number;
+	/** Time since the collection was in the state that the answer showed, in milliseconds. */
+	readonly ageMs: number;
+};
+
 /** All records of a replica, as sent to a peer. */
 export type ReplicaSnapshot = ReplicaRevisions & {readonly records: readonly CollectionRecord[]};
 
@@ -44,6 +52,12 @@
 	readonly #batches: RetainedBatch[] = [];
 	/** Revision from which `#batches` holds all changes. */
 	#batchesSince = -1;
+	/** Revision of the first listing; earlier removals are not known. */
+	#listedRevision = -1;
+	/** Last time at which an answer of the store to this VM showed that the replica was complete. */
+	#readAtMs = Number.NEGATIVE_INFINITY;
+	/** The same for answers of the store to any VM. */
+	#confirmedAtMs = Number.NEGATIVE_INFINITY;
 
 	/** `nowMs` is a monotonic clock in milliseconds. */
 	constructor(private readonly nowMs: () => number = () => performance.now()) {}
@@ -57,6 +71,20 @@
 		return this.#knowsLastChange ? this.revisions : {valid: this.#changed, changed: this.#changed};
 	}
 
+	/** Last time at which the replica is known to have been complete, in milliseconds of the clock; minus infinity before the first. */
+	get confirmedAtMs(): number {
+		return this.#confirmedAtMs;
+	}
+
+	/** What the store last showed to this VM, for heartbeats; undefined before its first answer. */
+	get reading(): StoreReading | undefined {
+		if (this.#readAtMs === Number.NEGATIVE_INFINITY) {
+			return undefined;
+		}
+
+		return {changedBy: this.#changedBy, ageMs: this.nowMs() - this.#readAtMs};
+	}
+
 	get isLoaded(): boolean {
 		return this.#valid >= 0;
 	}
@@ -92,6 +120,7 @@
 		this.#valid = revision;
 		if (isFirst) {
 			this.#batchesSince = revision;
+			this.#listedRevision = revision;
 		}
 
 		if (isFirst || change.changed.length > 0 || change.removed.length > 0) {
@@ -168,6 +197,24 @@
 		return isRaised;
 	}
 
+	/** Records that an answer of the store showed the replica complete as of `atMs`. */
+	confirmRead(atMs: number): void {
+		this.#readAtMs = Math.max(this.#readAtMs, atMs);
+		this.#confirmedAtMs = Math.max(this.#confirmedAtMs, atMs);
+	}
+
+	/** Records what the store showed to a peer; has no effect if this replica may lack a change that the peer's has. */
+	confirmPeerReading({changedBy, ageMs}: StoreReading): void {
+		if (this.isLoaded && this.#valid >= changedBy) {
+			this.#confirmedAtMs = Math.max(this.#confirmedAtMs, this.nowMs() - ageMs);
+		}
+	}
+
+	/** Revision at or before which the last change of any kind happened. */
+	get #changedBy(): number {
+		return this.#knowsLastChange ? this.#changed : this.#listedRevision;
+	}
+
 	#difference(records: readonly CollectionRecord[]): ReplicaChange {
 		const names = new Set(records.map(record => record.name));
 		return {
