--- a/packages/gateway/src/testing/start-gateway.ts
+++ b/packages/gateway/src/testing/start-gateway.ts
@@ -1,7 +1,7 @@
 import {
 	createMemoryLogger, freePorts, SystemTimerService, type TimerService,
 } from '@fescuewick/core';
-import {Collection} from '@fescuewick/store';
+import {Collection, type CollectionStore} from '@fescuewick/store';
 import {Gateway} from '../gateway.js';
 import {type Configuration} from '../model/configuration.js';
 import {type GatewaySettings} from '../settings.js';
@@ -21,7 +21,7 @@
 export type StartOptions = {
 	readonly vm?: string;
 	readonly failureDomain?: string;
-	readonly store?: MemoryCollectionStore;
+	readonly store?: CollectionStore;
 	readonly seeds?: readonly string[];
 	readonly bounds?: Partial<GatewaySettings['bounds']>;
 	/** Memory for buffered bodies, in bytes. */
