Bound the time for which a VM acts on state that nothing has confirmed

On the grown site requests with homes went to servers of another region for the same reason.

Cause: a VM that does not read the store relies on the three readers of its region, and a reader relies on watches that wait for seconds. Nobody knew how old a replica was: silence counted as the absence of changes until a wait ended, and after it the next wait began without asking whether the store still answers. This class of fault is state that counts as good because a wait has not ended.

Evidence: replica-unconfirmed shows front-aswan-a-3 idle, without a call of its own, while its configuration is unconfirmed for 8.4 s. Ruled out: a slow relay and an older version that came back (no VM had read the change), a call of its own that waited (it made none). A short call after a watch without an answer would not do: the change may come right after the silence, and the watch alone lasts longer than the 2.5 s.

Change: a VM whose oldest replica was not confirmed, by an answer of the store to itself or to a peer, for a fraction of the time in which changes must be in force asks the store. First readers ask soonest, the others only if their readings stop. A VM that has read out of turn tells its region, which fetches from it at once. The time in force comes from the platform's bounds.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,10 +31,9 @@
 import {
 	createDirectoryServer, createMetricsServer, createPeerServer, createReadinessServer, type PlatformInterface, type AuxiliaryServerOptions,
 } from './server/auxiliary-servers.js';
-import {type GatewaySettings} from './settings.js';
+import {inForceMs, type GatewaySettings} from './settings.js';
 import {FleetState} from './state/fleet-state.js';
 import {followedCollections} from './state/followed-collections.js';
-import {type StoreReading} from './state/replica.js';
 import {ReplicaAgeMonitor} from './state/replica-age-monitor.js';
 import {StoreFollowers} from './state/store-followers.js';
 import {StoreCircuitBreaker} from './state/store-circuit-breaker.js';
@@ -128,6 +127,7 @@
 			timers,
 			logger,
 			createHeartbeat: (isFull, scope) => this.#createHeartbeat(isFull, scope),
+			isReading: () => this.#readerRole.isReading,
 			onHeartbeat: heartbeat => {
 				this.#replicaSync.onHeartbeat(heartbeat);
 				this.#limiter.applyReports(heartbeat.record.vm, heartbeat.incarnation, heartbeat.buckets);
@@ -152,7 +152,17 @@
 			},
 		});
 		this.#followers = new StoreFollowers({
-			store: deps.store, replicas: this.#state.replicas, breaker: this.#breaker, timers, logger, random,
+			store: deps.store,
+			replicas: this.#state.replicas,
+			breaker: this.#breaker,
+			timers,
+			logger,
+			random,
+			readerRank: () => this.#readerRole.rank,
+			inForceMs: () => inForceMs(this.settings.bounds),
+			onChecked: () => {
+				this.#gossip.send(HeartbeatScope.region);
+			},
 		});
 		this.#readerRole = new StoreReaderRole({
 			self: this.#self, isReady: () => this.isReady, peers: this.#peers, breaker: this.#breaker, followers: [...this.#followers], timers, logger,
@@ -244,7 +254,7 @@
 			metrics: this.#metrics, timers, logger, intervalMs: checkIntervalMs,
 		});
 		const replicaAges = new ReplicaAgeMonitor({
-			replicas: this.#state.replicas, timers, logger, storeAccess: () => this.#readerRole.access,
+			replicas: this.#state.replicas, timers, logger, storeAccess: () => this.#readerRole.access, inForceMs: () => inForceMs(this.settings.bounds),
 		});
 		this.#cancels.push(
 			timers.repeat(checkIntervalMs, () => {
@@ -328,25 +338,13 @@
 			isReady: this.isReady,
 			storeAccess: this.#readerRole.access,
 			revisions: Object.fromEntries(followedCollections.map(collection => [collection, this.#state.replicas[collection].advertisedRevisions])),
-			storeReadings: this.#storeReadings(),
+			storeReadings: this.#state.readings(),
 			buckets: this.#limiter.reports(isFull, scope === HeartbeatScope.fleet),
 			slotDemand: this.#ownDemand(),
 			shiftedFractions: this.#placer.shiftedFractions(),
 		};
 	}
 
-	#storeReadings(): Record<string, StoreReading> {
-		const readings: Record<string, StoreReading> = {};
-		for (const collection of followedCollections) {
-			const {reading} = this.#state.replicas[collection];
-			if (reading !== undefined) {
-				readings[collection] = reading;
-			}
-		}
-
-		return readings;
-	}
-
 	/** Demand of the callers of this VM, in slots. */
 	#ownDemand(): SlotDemand {
 		return this.#slotDemandMeter.slots(service => this.#latency.typicalMs(service, initialDurationMs));
--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -24,6 +24,8 @@
 	readonly logger: Logger;
 	/** Creates the current heartbeat without its sequence for the VMs of a scope; a full one (`isFull`) repeats what peers know already. */
 	readonly createHeartbeat: (isFull: boolean, scope: HeartbeatScope) => Omit<Heartbeat, 'sequence'>;
+	/** Whether this VM watches the store; what it reads is told to its region in every round. */
+	readonly isReading: () => boolean;
 	/** Called for each heartbeat that is newer than the last one of its VM. */
 	readonly onHeartbeat: (heartbeat: Heartbeat) => void;
 	/** Called when a peer says what a backend server said to it. */
@@ -51,7 +53,7 @@
 		this.#cancel = this.options.timers.repeat(heartbeatIntervalMs, () => {
 			this.#round++;
 			const isSlowRound = this.#round % roundsPerSlowRound === 0;
-			if (isSlowRound || !isLargeRegion(this.options.table.self.region, [...this.options.table.records()])) {
+			if (isSlowRound || this.options.isReading() || !isLargeRegion(this.options.table.self.region, [...this.options.table.records()])) {
 				this.send(isSlowRound ? HeartbeatScope.fleet : HeartbeatScope.region);
 			}
 		});
--- a/packages/gateway/src/peers/replica-sync.ts
+++ b/packages/gateway/src/peers/replica-sync.ts
@@ -11,6 +11,9 @@
 /** Delay before a VM that does not watch the store fetches a change from a peer that is not a store reader of its region, in milliseconds; the readers know the changes, and traffic between regions is expensive. */
 const nonReaderFetchDelayMs = 600;
 
+/** A peer that read the store at most this long ago has its changes, in milliseconds, also if it does not watch the store. */
+const freshReadingMs = 300;
+
 type ReplicaSyncOptions = {
 	readonly replicas: Readonly<Record<Collection, Replica>>;
 	readonly client: PeerClient;
@@ -41,8 +44,8 @@
 
 			if (!this.#running.has(collection) && replica.isBehind(revisions[collection])) {
 				this.#running.add(collection);
-				const isReaderOfOwnRegion = record.region === this.options.region && storeAccess === StoreAccess.reading;
-				void this.#fetch(collection, record.peerAddress, revisions[collection].changed, isReaderOfOwnRegion);
+				const hasRead = storeAccess === StoreAccess.reading || (storeReadings[collection]?.ageMs ?? Number.POSITIVE_INFINITY) <= freshReadingMs;
+				void this.#fetch(collection, record.peerAddress, revisions[collection].changed, hasRead && record.region === this.options.region);
 			}
 		}
 	}
--- a/packages/gateway/src/peers/store-readers.ts
+++ b/packages/gateway/src/peers/store-readers.ts
@@ -18,16 +18,22 @@
 /** A VM that may read the store for its region. */
 export type ReaderCandidate = {readonly record: VmRecord; readonly isReady: boolean; readonly access: StoreAccess};
 
+/** Whether `vm` is one of the VMs that watch the store for their region; the other VMs of the region take the changes from these. */
+export function isStoreReader(vm: string, candidates: readonly ReaderCandidate[]): boolean {
+	return readerRank(vm, candidates) < readersPerRegion;
+}
+
 /**
-Whether `vm` is one of the VMs that watch the store for their region; the other VMs of the region take the changes from these.
+Position of `vm` in the order in which the VMs of its region watch the store; infinite if there are others and it is not usable.
 
 All VMs compute the same ranking from heartbeats, without coordination. VMs that are not ready or that the store refuses are left out while there are others. Therefore the number of store calls grows with the regions and not with the VMs.
 */
-export function isStoreReader(vm: string, candidates: readonly ReaderCandidate[]): boolean {
+export function readerRank(vm: string, candidates: readonly ReaderCandidate[]): number {
 	const ready = candidates.filter(({isReady}) => isReady);
 	const served = ready.filter(({access}) => access !== StoreAccess.refused);
 	const usable = [served, ready, candidates].find(({length}) => length > 0) ?? [];
-	return interleaveFailureDomains(usable.map(({record}) => record)).slice(0, readersPerRegion).some(record => record.vm === vm);
+	const rank = interleaveFailureDomains(usable.map(({record}) => record)).findIndex(record => record.vm === vm);
+	return rank === -1 ? Number.POSITIVE_INFINITY : rank;
 }
 
 /** Orders VMs round-robin over the failure domains, so that readers are left if one domain is lost. */
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -55,8 +55,17 @@
 		rateWindowMs: z.number().positive(),
 		/** Largest change, between two windows, of the fraction of a region's requests that run in other regions. */
 		shiftMost: nonNegativeNumber,
+		/** Longest times from the store's acknowledgement until a configuration, the leaving of a backend server and an evacuation are in force, in milliseconds. */
+		configurationMs: z.number().positive().default(2500),
+		drainMs: z.number().positive().default(2500),
+		evacuationMs: z.number().positive().default(5000),
 	}),
 });
 
 /** Checked settings of a gateway. */
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
+
+/** Time in which any change in the store has to be in force, in milliseconds. */
+export function inForceMs({configurationMs, drainMs, evacuationMs}: GatewaySettings['bounds']): number {
+	return Math.min(configurationMs, drainMs, evacuationMs);
+}
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -3,7 +3,10 @@
 import {Collection} from '@fescuewick/store';
 import {ConfigurationIndex, type Configuration} from '../model/configuration.js';
 import {BackendState, type BackendRecord} from '../model/records.js';
-import {Replica, type RemovedRecord, type ReplicaChange} from './replica.js';
+import {followedCollections} from './followed-collections.js';
+import {
+	Replica, type RemovedRecord, type ReplicaChange, type StoreReading,
+} from './replica.js';
 
 /** Window in which removals are counted together, in milliseconds. */
 const removalWindowMs = 1500;
@@ -69,6 +72,19 @@
 		return this.#evacuated.has(failureDomain);
 	}
 
+	/** What the store last showed to this VM, by collection. */
+	readings(): Record<string, StoreReading> {
+		const readings: Record<string, StoreReading> = {};
+		for (const collection of followedCollections) {
+			const {reading} = this.replicas[collection];
+			if (reading !== undefined) {
+				readings[collection] = reading;
+			}
+		}
+
+		return readings;
+	}
+
 	/** Removes a backend server at the end of its hold, unless its entry was restored. */
 	#endHold(heldBackend: KnownBackend): void {
 		const {id} = heldBackend.record;
--- a/packages/gateway/src/state/replica-age-monitor.ts
+++ b/packages/gateway/src/state/replica-age-monitor.ts
@@ -3,8 +3,8 @@
 import {type FleetState} from './fleet-state.js';
 import {followedCollections, type FollowedCollection} from './followed-collections.js';
 
-/** A replica that nothing has confirmed for longer than this is reported, in milliseconds; in the strictest deployments so far, changes must be in force after 2.5 s. */
-const reportedAgeMs = 2000;
+/** Age from which a replica is reported, as a fraction of the time in which a change has to be in force. */
+const reportedFraction = 0.8;
 
 type ReplicaAgeMonitorOptions = {
 	readonly replicas: FleetState['replicas'];
@@ -12,6 +12,8 @@
 	readonly logger: Logger;
 	/** Access of this VM to the store. */
 	readonly storeAccess: () => StoreAccess;
+	/** Time in which a change has to be in force, in milliseconds. */
+	readonly inForceMs: () => number;
 };
 
 /** Reports replicas that may lack a change because nothing has confirmed them for too long. */
@@ -22,7 +24,8 @@
 
 	/** Logs each replica once when it is too old, and when it is confirmed again; to be called regularly. */
 	check(): void {
-		const {replicas, timers, logger, storeAccess} = this.options;
+		const {replicas, timers, logger, storeAccess, inForceMs} = this.options;
+		const reportedAgeMs = inForceMs() * reportedFraction;
 		const nowMs = timers.nowMs();
 		for (const collection of followedCollections) {
 			const {isLoaded, confirmedAtMs, revisions: {valid}} = replicas[collection];
--- a/packages/gateway/src/state/silent-watches.test.ts
+++ b/packages/gateway/src/state/silent-watches.test.ts
@@ -69,7 +69,7 @@
 	const breaker = new StoreCircuitBreaker({timers, logger, random: () => random});
 	const replicas = Object.fromEntries(Object.values(Collection).map(collection => [collection, new Replica()])) as Record<Collection, Replica>;
 	const followers = new StoreFollowers({
-		store, replicas, breaker, timers, logger, random: () => random,
+		store, replicas, breaker, timers, logger, random: () => random, readerRank: () => 0, inForceMs: () => inForceMs, onChecked: () => undefined,
 	});
 	followers.run();
 	return {
--- /dev/null
+++ b/packages/gateway/src/state/store-checker.ts
@@ -0,0 +1,202 @@
+import {
+	ResultCode, toFescuewickError, type Logger, type TimerService,
+} from '@fescuewick/core';
+import {type Collection, Freshness, type CollectionStore} from '@fescuewick/store';
+import {readersPerRegion} from '../peers/store-readers.js';
+import {followedCollections, type FollowedCollection} from './followed-collections.js';
+import {type Replica} from './replica.js';
+import {type StoreCircuitBreaker} from './store-circuit-breaker.js';
+
+/**
+Ages of a replica at which VMs check the store, as fractions of the time in which a change has to be in force.
+
+Heartbeats pass a reading on within half a second, so in normal operation only the first reader of a region checks. The other readers step in when its readings stop, and then all VMs, spread so that the first of them can spare the others the call.
+*/
+const firstReaderFraction = 0.32;
+const otherReaderFraction = 0.58;
+const idleFraction = 0.62;
+const idleSpreadFraction = 0.1;
+
+/** Shortest pause after a failed check before a VM that does not read the store checks again, in milliseconds. A VM that the store serves again must know the changes about 5 s later, while in an outage of the store these calls grow with the fleet. */
+const minRetryMs = 3000;
+/** Random part of that pause, in milliseconds. */
+const retrySpreadMs = 1000;
+
+/** Dependencies of the checker; `random` returns numbers in [0, 1). */
+export type StoreCheckerOptions = {
+	readonly store: CollectionStore;
+	readonly replicas: Readonly<Record<Collection, Replica>>;
+	readonly breaker: StoreCircuitBreaker;
+	readonly timers: TimerService;
+	readonly logger: Logger;
+	readonly random: () => number;
+	/** Position of this VM in the order in which the VMs of its region read the store. */
+	readonly readerRank: () => number;
+	/** Time in which a change has to be in force, in milliseconds. */
+	readonly inForceMs: () => number;
+	/** Called when a check found changes that the watch of this VM has not delivered. */
+	readonly onMissed: (collection: FollowedCollection) => void;
+	/** Called when a check out of turn has succeeded or one has found changes, so that peers are told at once. */
+	readonly onChecked: () => void;
+	/** Called when a check has succeeded after the store did not answer; watches from before may wait on silent connections. */
+	readonly onRegained: () => void;
+};
+
+/**
+Asks the store for its revision, and for changes if there are any, when nobody has shown for too long that the replicas of this VM are complete.
+
+A watch that waits says nothing about its connection or about the VM that waits. Therefore the time for which a VM acts on its state is bounded by readings of the store that are known to it, and not by the waits of others.
+*/
+export class StoreChecker {
+	readonly #caller = Symbol('checker');
+	#isStopped = false;
+	#wake: (() => void) | undefined;
+	#idleThreshold: number;
+	#notBeforeMs = Number.NEGATIVE_INFINITY;
+
+	constructor(private readonly options: StoreCheckerOptions) {
+		this.#idleThreshold = this.#drawIdleThreshold();
+	}
+
+	/** Runs until `stop`. */
+	async run(): Promise<void> {
+		const {breaker} = this.options;
+		while (!this.#isStopped) {
+			await this.#waitUntilDue();
+			await breaker.waitForTurn(this.#caller);
+			if (this.#isStopped) {
+				breaker.succeeded(this.#caller);
+			} else if (breaker.isFailing || this.#dueInMs() <= 0) {
+				await this.#check();
+			}
+		}
+	}
+
+	stop(): void {
+		this.#isStopped = true;
+		this.#wake?.();
+	}
+
+	get #isReader(): boolean {
+		return this.options.readerRank() < readersPerRegion;
+	}
+
+	/** Age of the oldest replica at which this VM checks the store, in milliseconds. */
+	get #maxAgeMs(): number {
+		const {readerRank, inForceMs} = this.options;
+		const otherFraction = this.#isReader ? otherReaderFraction : this.#idleThreshold;
+		return inForceMs() * (readerRank() === 0 ? firstReaderFraction : otherFraction);
+	}
+
+	/** Time as of which all replicas are known to be complete, in milliseconds. */
+	get #confirmedAtMs(): number {
+		return Math.min(...followedCollections.map(collection => this.options.replicas[collection].confirmedAtMs));
+	}
+
+	#drawIdleThreshold(): number {
+		return idleFraction + (this.options.random() * idleSpreadFraction);
+	}
+
+	/** Time until the next check, in milliseconds; infinite while a replica has not been loaded. */
+	#dueInMs(): number {
+		const {replicas, timers} = this.options;
+		if (!followedCollections.every(collection => replicas[collection].isLoaded)) {
+			return Number.POSITIVE_INFINITY;
+		}
+
+		const dueAtMs = this.#confirmedAtMs + this.#maxAgeMs;
+		return Math.max(dueAtMs, this.#isReader ? Number.NEGATIVE_INFINITY : this.#notBeforeMs) - timers.nowMs();
+	}
+
+	async #waitUntilDue(): Promise<void> {
+		const {timers, inForceMs} = this.options;
+		for (let dueInMs = this.#dueInMs(); dueInMs > 0 && !this.#isStopped; dueInMs = this.#dueInMs()) {
+			// The rank of this VM may change meanwhile, and with it the time of the next check.
+			const sleepMs = Math.min(dueInMs, inForceMs() * firstReaderFraction);
+			await new Promise<void>(resolve => {
+				const cancel = timers.after(sleepMs, resolve);
+				this.#wake = () => {
+					cancel();
+					resolve();
+				};
+			});
+		}
+
+		this.#wake = undefined;
+	}
+
+	async #check(): Promise<void> {
+		const {store, breaker, timers, logger, random, readerRank} = this.options;
+		const startedAtMs = timers.nowMs();
+		const ageMs = Math.round(startedAtMs - this.#confirmedAtMs);
+		try {
+			const revision = await store.latestRevision();
+			this.#onAnswer();
+			const missed = await Promise.all(followedCollections.map(async collection => this.#readChanges(collection, revision, startedAtMs)));
+			this.#idleThreshold = this.#drawIdleThreshold();
+			this.#report({ageMs, revision, hasMissedChanges: missed.includes(true)});
+		} catch (error) {
+			const {message} = toFescuewickError(error);
+			this.#notBeforeMs = timers.nowMs() + minRetryMs + (random() * retrySpreadMs);
+			logger.info({
+				event: 'check-failed', rank: readerRank(), ageMs, reason: message,
+			}, 'the store did not answer a check');
+			breaker.failed(this.#caller, message);
+		}
+	}
+
+	#onAnswer(): void {
+		const {breaker, onRegained} = this.options;
+		const wasFailing = breaker.isFailing;
+		breaker.succeeded(this.#caller);
+		if (wasFailing) {
+			onRegained();
+		}
+	}
+
+	/** Regular checks of the first reader are neither logged nor told to peers at once. */
+	#report(result: {readonly ageMs: number; readonly revision: number; readonly hasMissedChanges: boolean}): void {
+		const {logger, readerRank, onChecked} = this.options;
+		if (readerRank() > 0 || result.hasMissedChanges) {
+			logger.info({event: 'store-checked', rank: readerRank(), ...result}, 'checked whether the store has changes that this VM lacks');
+			onChecked();
+		}
+	}
+
+	/** Reads the changes that a replica lacks if the store is beyond its revision; returns whether there were any. */
+	async #readChanges(collection: FollowedCollection, revision: number, startedAtMs: number): Promise<boolean> {
+		const {replicas, onMissed} = this.options;
+		const replica = replicas[collection];
+		const apply = replica.revisions.valid < revision ? await this.#call(collection) : undefined;
+		const {changed} = replica.revisions;
+		apply?.();
+		replica.confirmRead(startedAtMs);
+		if (replica.revisions.changed === changed) {
+			return false;
+		}
+
+		onMissed(collection);
+		return true;
+	}
+
+	/** Reads the changes of a collection, or all of it if the store has dropped its history; returns a function that applies the answer. */
+	async #call(collection: FollowedCollection): Promise<() => void> {
+		const {store, replicas} = this.options;
+		const replica = replicas[collection];
+		try {
+			const batch = await store.watch(collection, replica.revisions.valid, 0, new AbortController().signal);
+			return () => {
+				replica.applyChanges(batch);
+			};
+		} catch (error) {
+			if (toFescuewickError(error).code !== ResultCode.storeHistoryGone) {
+				throw error;
+			}
+
+			const listing = await store.list(collection, Freshness.latest);
+			return () => {
+				replica.applyListing(listing);
+			};
+		}
+	}
+}
--- a/packages/gateway/src/state/store-followers.ts
+++ b/packages/gateway/src/state/store-followers.ts
@@ -1,20 +1,22 @@
 import {type Collection} from '@fescuewick/store';
 import {followedCollections, type FollowedCollection} from './followed-collections.js';
 import {type Replica} from './replica.js';
+import {StoreChecker, type StoreCheckerOptions} from './store-checker.js';
 import {StoreFollower, type StoreFollowerOptions} from './store-follower.js';
 import {watchWaitMs} from './watch-wait.js';
 
 /** Dependencies of the followers; `random` returns numbers in [0, 1). */
-export type StoreFollowersOptions = Pick<StoreFollowerOptions, 'store' | 'breaker' | 'timers' | 'logger'> & {
+export type StoreFollowersOptions = Pick<StoreFollowerOptions, 'store' | 'breaker' | 'timers' | 'logger'> & Pick<StoreCheckerOptions, 'readerRank' | 'inForceMs' | 'onChecked'> & {
 	readonly replicas: Readonly<Record<Collection, Replica>>;
 	readonly random: () => number;
 };
 
-/** The followers of all collections of a store. */
+/** The followers of all collections of a store, and the checker that bounds how long their silence is taken for the absence of changes. */
 export class StoreFollowers implements Iterable<StoreFollower> {
 	readonly #followers: ReadonlyMap<Collection, StoreFollower>;
+	readonly #checker: StoreChecker;
 
-	constructor({replicas, random, ...options}: StoreFollowersOptions) {
+	constructor({replicas, random, readerRank, inForceMs, onChecked, ...options}: StoreFollowersOptions) {
 		this.#followers = new Map(followedCollections.map(collection => [collection, new StoreFollower({
 			...options,
 			collection,
@@ -24,10 +26,27 @@
 				this.#restartOthers(collection);
 			},
 		})]));
+		this.#checker = new StoreChecker({
+			...options,
+			replicas,
+			random,
+			readerRank,
+			inForceMs,
+			onChecked,
+			onMissed: collection => {
+				this.restartWatch(collection);
+			},
+			onRegained: () => {
+				for (const follower of this) {
+					follower.restartWatch();
+				}
+			},
+		});
 	}
 
-	/** Starts all followers. */
+	/** Starts all followers and the checker. */
 	run(): void {
+		void this.#checker.run();
 		for (const follower of this) {
 			void follower.run();
 		}
@@ -39,6 +58,7 @@
 	}
 
 	stop(): void {
+		this.#checker.stop();
 		for (const follower of this) {
 			follower.stop();
 		}
--- a/packages/gateway/src/state/store-reader-role.ts
+++ b/packages/gateway/src/state/store-reader-role.ts
@@ -1,7 +1,7 @@
 import {type Logger, type TimerService} from '@fescuewick/core';
 import {type VmRecord} from '../model/records.js';
 import {type PeerTable} from '../peers/peer-table.js';
-import {isStoreReader, StoreAccess} from '../peers/store-readers.js';
+import {readerRank, readersPerRegion, StoreAccess} from '../peers/store-readers.js';
 import {type StoreFollower} from './store-follower.js';
 import {type StoreCircuitBreaker} from './store-circuit-breaker.js';
 
@@ -22,6 +22,7 @@
 export class StoreReaderRole {
 	#isReading = true;
 	#readsUntilMs = 0;
+	#rank = 0;
 
 	constructor(private readonly options: StoreReaderRoleOptions) {}
 
@@ -30,6 +31,11 @@
 		return this.#isReading;
 	}
 
+	/** Position of this VM in the order in which the VMs of its region read the store. */
+	get rank(): number {
+		return this.#rank;
+	}
+
 	/** Store access of this VM, for its heartbeats. */
 	get access(): StoreAccess {
 		if (this.options.breaker.isFailing) {
@@ -46,7 +52,8 @@
 		const others = [...peers.alive()]
 			.filter(({record}) => record.region === self.region)
 			.map(heartbeat => ({record: heartbeat.record, isReady: heartbeat.isReady, access: heartbeat.storeAccess}));
-		if (isStoreReader(self.vm, [...others, {record: self, isReady: isReady(), access: this.access}])) {
+		this.#rank = readerRank(self.vm, [...others, {record: self, isReady: isReady(), access: this.access}]);
+		if (this.#rank < readersPerRegion) {
 			this.#readsUntilMs = nowMs + readerHandoverMs;
 		}
 
--- a/packages/gateway/src/testing/start-gateway.ts
+++ b/packages/gateway/src/testing/start-gateway.ts
@@ -45,7 +45,7 @@
 		answers: {maxHeadBytes: 16_384, maxBodyBytes: 67_108_864},
 		uploads: {maxBufferedBytes},
 		bounds: {
-			graceMs: 3000, maxDirectoryTtlMs: 5000, retryRatio: 0.2, retrySlack: 50, retryWindowMs: 10_000, coldOvershoot: 1.5, coldSlack: 5, rateOvershoot: 0.1, rateSlack: 20, rateWindowMs: 5000, shiftMost: 0.15, ...bounds,
+			graceMs: 3000, maxDirectoryTtlMs: 5000, retryRatio: 0.2, retrySlack: 50, retryWindowMs: 10_000, coldOvershoot: 1.5, coldSlack: 5, rateOvershoot: 0.1, rateSlack: 20, rateWindowMs: 5000, shiftMost: 0.15, configurationMs: 2500, drainMs: 2500, evacuationMs: 5000, ...bounds,
 		},
 	};
 	const lines: Array<Record<string, unknown>> = [];
--- a/packages/store/src/collection-store.ts
+++ b/packages/store/src/collection-store.ts
@@ -44,6 +44,8 @@
 	abstract list(collection: Collection, freshness: Freshness): Promise<Listing>;
 	/** Resolves with the changes after revision `afterRevision`; with an empty batch if none come within `waitMs`. Without an answer, as on a connection that has gone silent, it fails `maxAnswerMs` later. */
 	abstract watch(collection: Collection, afterRevision: number, waitMs: number, signal: AbortSignal): Promise<ChangeBatch>;
+	/** Reads the revision of the last change of any record; includes every change that the store had acknowledged before the call. */
+	abstract latestRevision(): Promise<number>;
 	/** Creates a record, or replaces it if it exists. */
 	abstract put(collection: Collection, name: string, value: unknown): Promise<void>;
 	/** Removes a record if its last change is `revision`. */
