--- a/packages/gateway/src/state/store-followers.ts
+++ b/packages/gateway/src/state/store-followers.ts
@@ -21,7 +21,7 @@
 			...options,
 			collection,
 			replica: replicas[collection],
-			watchWaitMs: () => watchWaitMs(collection, random()),
+			watchWaitMs: () => watchWaitMs(random()),
 			onWatchCut: () => {
 				this.#restartOthers(collection);
 			},
