Count the hold of entries that may have expired from when they may have been removed

What callers would see: a request reaches a server later than the 2.5 s after it left (DRAIN), at a VM that learns of the removal late.

Cause: a removed entry that may have expired is held for 1.9 s from when the first VM learned of the removal. After a silence, the removal may be as old as the last answer of the store, nearly 2 s: together almost 4 s. It is the same class of fault: time without an answer counted as time without a change.

Ruled out: dropping such entries at once; after an outage of the store live servers whose entries expired would be lost. So the limit is lifted if the last confirmation is longer ago than servers that left may be used, which is an outage for this VM.

Change: a removal carries how long ago the replica was last confirmed, and the server is used no longer than bounds.drainMs after that, less 100 ms for the request on its way.

Before: the test fails for removals learned after 1300 ms without an answer (the first case that a hold of 1.9 s exceeds). After: it passes, as does the one that keeps servers for the whole hold after an outage of 6 s.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -114,7 +114,7 @@
 		this.#metrics = new Metrics({vm: location.vm});
 		this.#breaker = new StoreCircuitBreaker({timers, logger, random});
 		this.#state = new FleetState({
-			timers, logger, mayHaveExpired: () => this.#breaker.isFailing || timers.nowMs() - this.#breaker.recoveredAtMs < expiryWindowMs || this.#peers.areMostReadersRefused(expiryWindowMs),
+			timers, logger, drainMs: () => this.settings.bounds.drainMs, mayHaveExpired: () => this.#breaker.isFailing || timers.nowMs() - this.#breaker.recoveredAtMs < expiryWindowMs || this.#peers.areMostReadersRefused(expiryWindowMs),
 		});
 		this.#peers = new PeerTable({self: this.#self, timers, logger});
 		this.#replicaSync = new ReplicaSync({
--- a/packages/gateway/src/state/fleet-state.test.ts
+++ b/packages/gateway/src/state/fleet-state.test.ts
@@ -5,9 +5,16 @@
 import {backendRecord, configuration} from '../testing/fixtures.js';
 import {FleetState} from './fleet-state.js';
 
+/** Time for which a backend server that left may be used, in milliseconds. */
+const drainMs = 2500;
+
 function createState(mayHaveExpired = false) {
 	const timers = new ManualTimerService();
-	return {timers, state: new FleetState({timers, logger: createSilentLogger(), mayHaveExpired: () => mayHaveExpired})};
+	return {
+		timers, state: new FleetState({
+			timers, logger: createSilentLogger(), mayHaveExpired: () => mayHaveExpired, drainMs: () => drainMs,
+		}),
+	};
 }
 
 async function put(state: FleetState, collection: Collection, revision: number, ...values: Array<{name: string; value: unknown}>) {
@@ -105,3 +112,32 @@
 	await advance(50);
 	t.false(states.some(({state}) => state.backends.has('a')));
 });
+
+test('a server whose removal is learned late is used no longer than one whose removal is learned at once', async t => {
+	// Guards against a hold that begins when a VM learns of a removal that may be as old as the last answer of the store.
+	for (const silentMs of [0, 600, 1300, 1900, 2300]) {
+		const {state, timers} = createState(true);
+		const replica = state.replicas[Collection.backends];
+		await put(state, Collection.backends, 2, {name: 'a', value: backendRecord('a')}, {name: 'b', value: backendRecord('b')});
+		replica.confirmRead(timers.nowMs());
+		await timers.advance(silentMs);
+		await put(state, Collection.backends, 3, {name: 'a', value: undefined});
+		t.is(state.backends.has('a'), silentMs < drainMs - 100, 'its entry may have expired');
+		await timers.advance(drainMs - silentMs);
+		t.false(state.backends.has('a'), `silent for ${silentMs} ms`);
+	}
+});
+
+test('a server whose entry was removed while the store did not answer for long is kept for the whole hold', async t => {
+	// Guards against all servers being dropped after an outage in which their entries expired.
+	const {state, timers} = createState(true);
+	const replica = state.replicas[Collection.backends];
+	await put(state, Collection.backends, 2, {name: 'a', value: backendRecord('a')});
+	replica.confirmRead(timers.nowMs());
+	await timers.advance(6000);
+	await put(state, Collection.backends, 3, {name: 'a', value: undefined});
+	await timers.advance(1850);
+	t.true(state.backends.has('a'));
+	await timers.advance(100);
+	t.false(state.backends.has('a'));
+});
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -15,6 +15,9 @@
 /** How long backend servers whose entries may have expired stay in use, in milliseconds. The platform restores the entries of live servers within about 2 s. In the deployments so far, a server that left may be used for 2.5 s, of which up to half a second passes until a VM learns of it. */
 const expiryHoldMs = 1900;
 
+/** Time that the last request needs to reach a server that is no longer used, in milliseconds. */
+const requestMs = 100;
+
 /** Unknown values of a configuration that its log line names; the others are counted. */
 const maxReportedValues = 5;
 
@@ -29,6 +32,8 @@
 	readonly logger: Logger;
 	/** Whether removed entries may have expired, although their servers have not left. */
 	readonly mayHaveExpired: () => boolean;
+	/** Longest time for which a backend server that left may be used, in milliseconds. */
+	readonly drainMs: () => number;
 };
 
 /** Configuration, backend servers and evacuations as known from the replicas of this VM. */
@@ -154,14 +159,14 @@
 		const readyNames = new Set(removed.filter(({name, value}) => ((value as BackendRecord | undefined) ?? this.#backends.get(name)?.record)?.state === BackendState.ready).map(({name}) => name));
 		this.#removedAtMs.push(...[...readyNames].map(() => nowMs));
 		const mayHaveExpired = this.options.mayHaveExpired() || this.#removedAtMs.length >= minRemovalsForExpiry;
-		for (const {name, ageMs} of removed) {
+		for (const {name, ageMs, maxAgeMs} of removed) {
 			const known = this.#backends.get(name);
 			if (known === undefined) {
 				continue;
 			}
 
 			// If the removal came through a peer, the hold counts from when the first VM learned of it and not from its arrival at this VM.
-			const holdMs = expiryHoldMs - ageMs;
+			const holdMs = Math.min(expiryHoldMs - ageMs, this.#usableForMs(maxAgeMs));
 			const isHeld = mayHaveExpired && readyNames.has(name) && holdMs > 0;
 			if (isHeld) {
 				// A new object is stored, so that `#endHold` can distinguish it from an entry that was restored or held again meanwhile.
@@ -180,6 +185,12 @@
 		}
 	}
 
+	/** How long a server whose removal happened at most `maxAgeMs` ago may still be used, in milliseconds; unlimited after an outage of the store that is longer than servers which left may be used. */
+	#usableForMs(maxAgeMs: number): number {
+		const maxUseMs = this.options.drainMs() - requestMs;
+		return maxAgeMs < this.options.drainMs() ? maxUseMs - maxAgeMs : Number.POSITIVE_INFINITY;
+	}
+
 	#onEvacuations({changed, removed}: ReplicaChange): void {
 		const before = this.#evacuated;
 		this.#evacuated = new Set(this.replicas[Collection.evacuations].records.keys());
--- a/packages/gateway/src/state/replica.ts
+++ b/packages/gateway/src/state/replica.ts
@@ -32,8 +32,13 @@
 /** The changes that a peer's replica lacks. */
 export type ReplicaDelta = ReplicaRevisions & {readonly changes: readonly AgedChange[]};
 
-/** A removed record, and the time since its removal was learned, in milliseconds. */
-export type RemovedRecord = CollectionRecord & {readonly ageMs: number};
+/** A removed record. */
+export type RemovedRecord = CollectionRecord & {
+	/** Time since the first VM learned of its removal, in milliseconds. */
+	readonly ageMs: number;
+	/** Longest time since its removal, in milliseconds; infinite if the replica has never been confirmed. */
+	readonly maxAgeMs: number;
+};
 
 /** Records that an update of a replica changed and removed. */
 export type ReplicaChange = {readonly changed: readonly CollectionRecord[]; readonly removed: readonly RemovedRecord[]};
@@ -141,12 +146,15 @@
 	applyChanges({changes, revision}: {readonly changes: readonly AgedChange[]; readonly revision: number}): void {
 		const changed: CollectionRecord[] = [];
 		const removed: RemovedRecord[] = [];
+		const maxAgeMs = this.nowMs() - this.#confirmedAtMs;
 		for (const {record, isRemoved, ageMs = 0} of changes) {
 			const known = this.#records.get(record.name);
 			if (isRemoved) {
 				if (known !== undefined && known.revision <= record.revision) {
 					this.#records.delete(record.name);
-					removed.push({...known, value: record.value ?? known.value, ageMs});
+					removed.push({
+						...known, value: record.value ?? known.value, ageMs, maxAgeMs,
+					});
 				}
 			} else if (known === undefined || known.revision < record.revision) {
 				this.#records.set(record.name, record);
@@ -217,9 +225,10 @@
 
 	#difference(records: readonly CollectionRecord[]): ReplicaChange {
 		const names = new Set(records.map(record => record.name));
+		const maxAgeMs = this.nowMs() - this.#confirmedAtMs;
 		return {
 			changed: records.filter(record => this.#records.get(record.name)?.revision !== record.revision),
-			removed: [...this.#records.values()].filter(record => !names.has(record.name)).map(record => ({...record, ageMs: 0})),
+			removed: [...this.#records.values()].filter(record => !names.has(record.name)).map(record => ({...record, ageMs: 0, maxAgeMs})),
 		};
 	}
 
@@ -227,7 +236,7 @@
 		const nowMs = this.nowMs();
 		const changes = [
 			// A removal carries the revision of the replica at that time, so that a record that was added again later is not removed.
-			...removed.map(({ageMs, ...record}) => ({record: {...record, revision: this.#valid}, isRemoved: true, atMs: nowMs - ageMs})),
+			...removed.map(({ageMs, maxAgeMs, ...record}) => ({record: {...record, revision: this.#valid}, isRemoved: true, atMs: nowMs - ageMs})),
 			...changed.map(record => ({record, isRemoved: false, atMs: nowMs})),
 		];
 		this.#batches.push({changes, revision: this.#valid});
