Move the demand of the fleet out of the gateway and end checks with it

A check of the store that ends after the gateway has stopped does nothing more; it would have sent on a closed socket and logged a failure of the store.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,10 +19,10 @@
 import {PeerTable} from './peers/peer-table.js';
 import {Registration} from './peers/registration.js';
 import {ServerNoticeKind} from './peers/server-notice.js';
+import {FleetDemand, initialDurationMs} from './placement/fleet-demand.js';
 import {Placer} from './placement/placer.js';
-import {type ShiftedFractions} from './placement/region-plan.js';
 import {createProbeAgent, Prober} from './placement/prober.js';
-import {RegionalDemand, SlotDemandMeter, type SlotDemand} from './placement/slot-demand-meter.js';
+import {SlotDemandMeter} from './placement/slot-demand-meter.js';
 import {EventLoopDelay} from './server/event-loop-delay.js';
 import {registerGauges} from './server/gauges.js';
 import {applyLimits, createFrontServer, stopFrontServer} from './server/front-server.js';
@@ -51,8 +51,6 @@
 const maxStartWaitMs = 1500;
 /** Interval at which the fractions of requests that run in other regions are adjusted, in milliseconds. */
 const steeringIntervalMs = 500;
-/** Assumed duration of requests before the first measurement, in milliseconds. */
-const initialDurationMs = 400;
 /** Upper bounds of latency buckets, in seconds. */
 const latencyBucketsS = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
 
@@ -82,6 +80,7 @@
 	readonly #queues: RequestQueues;
 	readonly #slotDemandMeter = new SlotDemandMeter();
 	readonly #latency = new RouteLatency();
+	readonly #demand: FleetDemand;
 	readonly #placer: Placer;
 	readonly #prober: Prober;
 	readonly #probeAgent = createProbeAgent();
@@ -117,6 +116,7 @@
 			timers, logger, drainMs: () => this.settings.bounds.drainMs, mayHaveExpired: () => this.#breaker.isFailing || timers.nowMs() - this.#breaker.recoveredAtMs < expiryWindowMs || this.#peers.areMostReadersRefused(expiryWindowMs),
 		});
 		this.#peers = new PeerTable({self: this.#self, timers, logger});
+		this.#demand = new FleetDemand({peers: this.#peers, meter: this.#slotDemandMeter, latency: this.#latency});
 		this.#replicaSync = new ReplicaSync({
 			replicas: this.#state.replicas, client: this.#peerClient, timers, logger, region: location.region, isReading: () => this.#readerRole.isReading, onAdopted: collection => {
 				this.#followers.restartWatch(collection);
@@ -268,7 +268,7 @@
 			}),
 			timers.repeat(steeringIntervalMs, () => {
 				this.#slotDemandMeter.sample(steeringIntervalMs);
-				this.#placer.steer(this.#demandByRegion(), steeringIntervalMs, this.#shiftedFractionsOfRegion());
+				this.#placer.steer(this.#demand.byRegion(), steeringIntervalMs, this.#demand.shiftedFractionsOfRegion());
 			}),
 		);
 		this.#prober.start();
@@ -320,17 +320,6 @@
 		logger.info({event: 'stopped'}, 'gateway stopped');
 	}
 
-	/** Fractions that another VM of this region shifts to other regions; a VM that has just started adopts them. */
-	#shiftedFractionsOfRegion(): ShiftedFractions | undefined {
-		for (const {record, shiftedFractions} of this.#peers.alive()) {
-			if (record.region === this.#self.region && Object.keys(shiftedFractions).length > 0) {
-				return shiftedFractions;
-			}
-		}
-
-		return undefined;
-	}
-
 	#createHeartbeat(isFull: boolean, scope: HeartbeatScope): Omit<Heartbeat, 'sequence'> {
 		return {
 			record: this.#self,
@@ -340,27 +329,11 @@
 			revisions: Object.fromEntries(followedCollections.map(collection => [collection, this.#state.replicas[collection].advertisedRevisions])),
 			storeReadings: this.#state.readings(),
 			buckets: this.#limiter.reports(isFull, scope === HeartbeatScope.fleet),
-			slotDemand: this.#ownDemand(),
+			slotDemand: this.#demand.own(),
 			shiftedFractions: this.#placer.shiftedFractions(),
 		};
 	}
 
-	/** Demand of the callers of this VM, in slots. */
-	#ownDemand(): SlotDemand {
-		return this.#slotDemandMeter.slots(service => this.#latency.typicalMs(service, initialDurationMs));
-	}
-
-	/** Demand of the callers of all VMs, by region. */
-	#demandByRegion(): RegionalDemand {
-		const demand = new RegionalDemand();
-		demand.add(this.#self.region, this.#ownDemand());
-		for (const heartbeat of this.#peers.alive()) {
-			demand.add(heartbeat.record.region, heartbeat.slotDemand);
-		}
-
-		return demand;
-	}
-
 	#createContext(): ForwardingContext {
 		const {timers, random, dialect} = this.deps;
 		const requests = this.#metrics.counter('fescuewick_requests_total', 'Requests by result', ['result'] as const);
--- a/packages/gateway/src/state/store-checker.ts
+++ b/packages/gateway/src/state/store-checker.ts
@@ -133,6 +133,10 @@
 			const revision = await store.latestRevision();
 			this.#onAnswer();
 			const missed = await Promise.all(followedCollections.map(async collection => this.#readChanges(collection, revision, startedAtMs)));
+			if (this.#isStopped) {
+				return;
+			}
+
 			this.#idleThreshold = this.#drawIdleThreshold();
 			this.#report({ageMs, revision, hasMissedChanges: missed.includes(true)});
 		} catch (error) {
