Check the store by one watch, and only the replicas that need it

Cause: a check asked for the revision and then for the changes of every collection behind it; while servers change, that is four calls each time, though watches confirm the backend servers many times a second.

Change: a check reads the changes of evacuations. The other collections are read only if they are behind that revision and were not confirmed within half the time between checks. CollectionStore says what its revisions mean.

--- a/packages/gateway/src/state/store-checker.ts
+++ b/packages/gateway/src/state/store-checker.ts
@@ -1,7 +1,7 @@
 import {
 	ResultCode, toFescuewickError, type Logger, type TimerService,
 } from '@fescuewick/core';
-import {type Collection, Freshness, type CollectionStore} from '@fescuewick/store';
+import {Collection, Freshness, type CollectionStore} from '@fescuewick/store';
 import {readersPerRegion} from '../peers/store-readers.js';
 import {followedCollections, type FollowedCollection} from './followed-collections.js';
 import {type Replica} from './replica.js';
@@ -17,6 +17,11 @@
 const idleFraction = 0.62;
 const idleSpreadFraction = 0.1;
 
+/** Collection whose changes are asked for first; it has at most one record for each failure domain. */
+const firstCollection = Collection.evacuations;
+/** A replica that was confirmed more recently than this fraction of the age at which the VM checks is left out of a check. */
+const recentFraction = 0.5;
+
 /** Shortest pause after a failed check before a VM that does not read the store checks again, in milliseconds. A VM that the store serves again must know the changes about 5 s later, while in an outage of the store these calls grow with the fleet. */
 const minRetryMs = 3000;
 /** Random part of that pause, in milliseconds. */
@@ -43,7 +48,9 @@
 };
 
 /**
-Asks the store for its revision, and for changes if there are any, when nobody has shown for too long that the replicas of this VM are complete.
+Asks the store for changes when nobody has shown for too long that the replicas of this VM are complete.
+
+The store's revision counts the changes of all collections, so while nothing changes one answer confirms all replicas.
 
 A watch that waits says nothing about its connection or about the VM that waits. Therefore the time for which a VM acts on its state is bounded by readings of the store that are known to it, and not by the waits of others.
 */
@@ -126,13 +133,15 @@
 	}
 
 	async #check(): Promise<void> {
-		const {store, breaker, timers, logger, random, readerRank} = this.options;
+		const {replicas, breaker, timers, logger, random, readerRank} = this.options;
 		const startedAtMs = timers.nowMs();
 		const ageMs = Math.round(startedAtMs - this.#confirmedAtMs);
 		try {
-			const revision = await store.latestRevision();
+			const missed = [await this.#readChanges(firstCollection, startedAtMs)];
 			this.#onAnswer();
-			const missed = await Promise.all(followedCollections.map(async collection => this.#readChanges(collection, revision, startedAtMs)));
+			const revision = replicas[firstCollection].revisions.valid;
+			const others = this.#toRead(revision, startedAtMs);
+			missed.push(...await Promise.all(others.map(async collection => this.#readChanges(collection, startedAtMs))));
 			if (this.#isStopped) {
 				return;
 			}
@@ -167,13 +176,26 @@
 		}
 	}
 
-	/** Reads the changes that a replica lacks if the store is beyond its revision; returns whether there were any. */
-	async #readChanges(collection: FollowedCollection, revision: number, startedAtMs: number): Promise<boolean> {
+	/** Confirms the replicas that have all changes up to a revision of the store; returns the collections to read because the store may have changes that their replicas lack. */
+	#toRead(revision: number, startedAtMs: number): FollowedCollection[] {
+		const {replicas} = this.options;
+		const recentAtMs = startedAtMs - (this.#maxAgeMs * recentFraction);
+		for (const collection of followedCollections) {
+			if (replicas[collection].revisions.valid >= revision) {
+				replicas[collection].confirmRead(startedAtMs);
+			}
+		}
+
+		return followedCollections.filter(collection => replicas[collection].confirmedAtMs < recentAtMs);
+	}
+
+	/** Reads the changes that a replica lacks; returns whether there were any. */
+	async #readChanges(collection: FollowedCollection, startedAtMs: number): Promise<boolean> {
 		const {replicas, onMissed} = this.options;
 		const replica = replicas[collection];
-		const apply = replica.revisions.valid < revision ? await this.#call(collection) : undefined;
+		const apply = await this.#call(collection);
 		const {changed} = replica.revisions;
-		apply?.();
+		apply();
 		replica.confirmRead(startedAtMs);
 		if (replica.revisions.changed === changed) {
 			return false;
--- a/packages/gateway/src/testing/memory-collection-store.ts
+++ b/packages/gateway/src/testing/memory-collection-store.ts
@@ -61,11 +61,6 @@
 		return {changes: read(), revision: this.#revision};
 	}
 
-	async latestRevision(): Promise<number> {
-		this.#call('revision');
-		return this.#revision;
-	}
-
 	async put(collection: Collection, name: string, value: unknown): Promise<void> {
 		this.#call('put', collection);
 		this.set(collection, name, value);
@@ -125,8 +120,8 @@
 		}
 	}
 
-	#call(...words: string[]): void {
-		this.calls.push(words.join(' '));
+	#call(kind: string, collection: Collection): void {
+		this.calls.push(`${kind} ${collection}`);
 		if (this.isDown) {
 			throw new FescuewickError(ResultCode.storeUnavailable, 'the store is down');
 		}
--- a/packages/gateway/src/testing/restricted-store.ts
+++ b/packages/gateway/src/testing/restricted-store.ts
@@ -36,10 +36,6 @@
 		}
 	}
 
-	async latestRevision(): Promise<number> {
-		return this.#call(async () => this.store.latestRevision());
-	}
-
 	async put(collection: Collection, name: string, value: unknown): Promise<void> {
 		return this.#call(async () => this.store.put(collection, name, value));
 	}
--- a/packages/store/src/collection-store.ts
+++ b/packages/store/src/collection-store.ts
@@ -25,13 +25,13 @@
 	readonly value: unknown;
 };
 
-/** All records of a collection as of a store revision. */
+/** All records of a collection as of a revision, which is that of the store when it answered. */
 export type Listing = {readonly records: readonly CollectionRecord[]; readonly revision: number};
 
 /** One change of a record. */
 export type RecordChange = {readonly record: CollectionRecord; readonly isRemoved: boolean};
 
-/** Changes after a revision, in order, up to `revision`. */
+/** Changes after a revision, in order, up to `revision`, which is that of the store when it answered. */
 export type ChangeBatch = {readonly changes: readonly RecordChange[]; readonly revision: number};
 
 /**
@@ -44,8 +44,6 @@
 	abstract list(collection: Collection, freshness: Freshness): Promise<Listing>;
 	/** Resolves with the changes after revision `afterRevision`; with an empty batch if none come within `waitMs`. Without an answer, as on a connection that has gone silent, it fails `maxAnswerMs` later. */
 	abstract watch(collection: Collection, afterRevision: number, waitMs: number, signal: AbortSignal): Promise<ChangeBatch>;
-	/** Reads the revision of the last change of any record; includes every change that the store had acknowledged before the call. */
-	abstract latestRevision(): Promise<number>;
 	/** Creates a record, or replaces it if it exists. */
 	abstract put(collection: Collection, name: string, value: unknown): Promise<void>;
 	/** Removes a record if its last change is `revision`. */
