Let no order of a new round reuse the connection of the round before

When the second is too late for that, it opens a connection of its own, and the first order of the next round may go out on that one. Then the first answer is the one that the test is about. All three outcomes follow from it: the copy has the id of the first order and is its answer (200, then 200 on a new connection); a refusal without an id is not passed on (502) for the first order; one with its id is (503), and so is the second's on a new connection.

Change: a round that missed is followed by a pause longer than orders use idle connections. The checks are unchanged.

--- a/packages/gateway/src/broken-servers.test.ts
+++ b/packages/gateway/src/broken-servers.test.ts
@@ -1,5 +1,6 @@
 import {type Socket} from 'node:net';
 import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {
 	answerOk, headerOf, type FakeBackendServer, type RequestListener,
@@ -198,6 +199,9 @@
 
 const order = {method: 'POST', body: 'x'};
 
+/** Longer than a connection is idle and still used for an order, in milliseconds. */
+const idlePauseMs = 1000;
+
 /** Sends two orders, one right after the other, until the second one goes out on the connection of the first; on a busy machine it may come too late for that. Returns the status of the first and the second answer. */
 async function answersOnReuse(call: Setup['call'], wasReused: () => boolean): Promise<{readonly firstStatus: number; readonly response: Response}> {
 	for (;;) {
@@ -206,6 +210,9 @@
 		if (wasReused()) {
 			return {firstStatus, response};
 		}
+
+		// Otherwise the first order of the next round could go out on the connection of the second one.
+		await sleep(idlePauseMs);
 	}
 }
 
