Spread relayed heartbeats over the VMs of a region

A lost peer is missing from directory answers, and every loss counts as a disturbance for which workspace buckets admit less.

Cause: a relay is chosen by the sequence of a heartbeat, and VMs that started together have the same sequence. Ruled out: losses at the receivers (no pair within one domain is affected).

Change: each sender begins at another relay, and VMs send at different moments of the interval. The test failed before: 60 of 60 heartbeats went to one of 30 relays.

--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {createSocket, type Socket} from 'node:dgram';
-import {type Cancel, type Logger, type TimerService} from '@fescuewick/core';
+import {
+	hashFraction, type Cancel, type Logger, type TimerService,
+} from '@fescuewick/core';
 import {splitAddress} from '@fescuewick/wire';
 import {listenAt} from '../server/listen.js';
 import {
@@ -50,15 +52,24 @@
 		this.#socket.on('error', error => {
 			this.options.logger.warn({event: 'gossip-error', reason: error.message}, 'heartbeat socket failed');
 		});
-		this.#cancel = this.options.timers.repeat(heartbeatIntervalMs, () => {
-			this.#round++;
-			const isSlowRound = this.#round % roundsPerSlowRound === 0;
-			if (isSlowRound || this.options.isReading() || !isLargeRegion(this.options.table.self.region, [...this.options.table.records()])) {
-				this.send(isSlowRound ? HeartbeatScope.fleet : HeartbeatScope.region);
-			}
+		const {timers, table} = this.options;
+		// VMs that start together send at different times; otherwise each of them receives the heartbeats of the whole fleet at once.
+		this.#cancel = timers.after(hashFraction(table.self.vm) * heartbeatIntervalMs, () => {
+			this.#cancel = timers.repeat(heartbeatIntervalMs, () => {
+				this.#sendInTurn();
+			});
 		});
 	}
 
+	#sendInTurn(): void {
+		const {table, isReading} = this.options;
+		this.#round++;
+		const isSlowRound = this.#round % roundsPerSlowRound === 0;
+		if (isSlowRound || isReading() || !isLargeRegion(table.self.region, [...table.records()])) {
+			this.send(isSlowRound ? HeartbeatScope.fleet : HeartbeatScope.region);
+		}
+	}
+
 	/** Sends a heartbeat at once, as after a change that peers should learn of without delay. */
 	send(scope: HeartbeatScope): void {
 		const {table, createHeartbeat} = this.options;
--- a/packages/gateway/src/peers/heartbeat-recipients.test.ts
+++ b/packages/gateway/src/peers/heartbeat-recipients.test.ts
@@ -86,3 +86,24 @@
 	t.true([1, 2, 3].every(sequence => isFullHeartbeat(sequence, 10)));
 	t.is(Array.from({length: 70}, (_, sequence) => isFullHeartbeat(sequence, 59)).filter(Boolean).length, 10);
 });
+
+test('heartbeats that VMs with equal sequences send at the same time go to different relays', t => {
+	// Guards against VMs that started together and choose the same relay in each round: it had to relay 60 heartbeats to 15 VMs at once, more than its link takes, and the region lost up to three heartbeats of a VM in a row.
+	const fleet = ['north', 'south', 'west'].flatMap(name => region(name, 30));
+	const alive = names(fleet);
+	for (let sequence = 1; sequence <= 30; sequence++) {
+		const relayedCounts = new Map<string, number>();
+		for (const own of fleet.filter(vm => vm.region !== 'south')) {
+			const peers = fleet.filter(({vm}) => vm !== own.vm);
+			for (const {record, scope} of recipients({
+				own, peers, alive, sequence, scope: HeartbeatScope.fleet,
+			})) {
+				if (record.region === 'south' && scope === HeartbeatScope.region) {
+					relayedCounts.set(record.vm, (relayedCounts.get(record.vm) ?? 0) + 1);
+				}
+			}
+		}
+
+		t.true(Math.max(...relayedCounts.values()) <= 9, `${Math.max(...relayedCounts.values())} of 60 heartbeats go to one of 30 relays`);
+	}
+});
--- a/packages/gateway/src/peers/heartbeat-recipients.ts
+++ b/packages/gateway/src/peers/heartbeat-recipients.ts
@@ -1,4 +1,5 @@
 import {groupBy} from 'es-toolkit';
+import {hashFraction} from '@fescuewick/core';
 import {type VmRecord} from '../model/records.js';
 
 /** VMs to which a heartbeat is sent or relayed; in a datagram, those to which its recipient relays it. */
@@ -46,7 +47,7 @@
 /**
 Returns the VMs to send a heartbeat to.
 
-When each VM sent its heartbeats to every other VM, the traffic between regions grew with the square of the fleet: 60 VMs sent 2,400 heartbeats a second, 97 MB in 42 s. Therefore each heartbeat goes to one VM of a large region or failure domain, which relays it. Relays rotate with the sequence, so a relay that has stopped loses one heartbeat in many, without any failure detection.
+When each VM sent its heartbeats to every other VM, the traffic between regions grew with the square of the fleet: 60 VMs sent 2,400 heartbeats a second, 97 MB in 42 s. Therefore each heartbeat goes to one VM of a large region or failure domain, which relays it. Relays rotate with the sequence, so a relay that has stopped loses one heartbeat in many, without any failure detection. Each sender begins at another relay: VMs that started together have about the same sequence, and one relay for all of them cannot send so many datagrams at once.
 */
 export function * recipients(delivery: HeartbeatDelivery): Generator<Recipient> {
 	const {own, peers, scope} = delivery;
@@ -77,9 +78,10 @@
 	}
 }
 
-function * sendThroughRelay(members: readonly VmRecord[], scope: HeartbeatScope, {alive, sequence}: HeartbeatDelivery): Generator<Recipient> {
+function * sendThroughRelay(members: readonly VmRecord[], scope: HeartbeatScope, {own, alive, sequence}: HeartbeatDelivery): Generator<Recipient> {
 	const aliveMembers = members.filter(({vm}) => alive.has(vm));
 	// Without a live member, all members are tried in turn, so that a region is found again after a partition.
 	const candidates = aliveMembers.length > 0 ? aliveMembers : members;
-	yield {record: candidates[sequence % candidates.length], scope};
+	const offset = Math.floor(hashFraction(own.vm) * candidates.length);
+	yield {record: candidates[(sequence + offset) % candidates.length], scope};
 }
