--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -2,6 +2,13 @@
 
 const address = z.string().regex(/^[^:]+:\d+$/, 'must be ip:port');
 const nonNegativeNumber = z.number().min(0);
+/** Text of a duration that a settings template fills in without a value, as `{{name}}e3`: fillers write nothing, `null` or `undefined` for the value. */
+const emptyDuration = /^(?:undefined|null)?(?:e3)?$/;
+
+/** A positive duration in milliseconds; `defaultMs` if the settings contain no value for it. */
+function optionalDurationMs(defaultMs: number) {
+	return z.preprocess(value => value === null || (typeof value === 'string' && emptyDuration.test(value)) ? undefined : value, z.number().positive().default(defaultMs));
+}
 
 /** Settings of a gateway; the file is YAML. */
 export const gatewaySettingsSchema = z.object({
@@ -56,9 +63,9 @@
 		/** Largest change, between two windows, of the fraction of a region's requests that run in other regions. */
 		shiftMost: nonNegativeNumber,
 		/** Longest times from the store's acknowledgement until a configuration, the leaving of a backend server and an evacuation are in force, in milliseconds. */
-		configurationMs: z.number().positive().default(2500),
-		drainMs: z.number().positive().default(2500),
-		evacuationMs: z.number().positive().default(5000),
+		configurationMs: optionalDurationMs(2500),
+		drainMs: optionalDurationMs(2500),
+		evacuationMs: optionalDurationMs(5000),
 	}),
 });
 
