--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -32,6 +32,7 @@
 	createDirectoryServer, createMetricsServer, createPeerServer, createReadinessServer, type PlatformInterface, type AuxiliaryServerOptions,
 } from './server/auxiliary-servers.js';
 import {inForceMs, type GatewaySettings} from './settings.js';
+import {EraCheckedStore} from './state/era-checked-store.js';
 import {FleetState} from './state/fleet-state.js';
 import {followedCollections} from './state/followed-collections.js';
 import {ReplicaAgeMonitor} from './state/replica-age-monitor.js';
@@ -115,10 +116,11 @@
 		this.#state = new FleetState({
 			timers, logger, drainMs: () => this.settings.bounds.drainMs, mayHaveExpired: () => this.#breaker.isFailing || timers.nowMs() - this.#breaker.recoveredAtMs < expiryWindowMs || this.#peers.areMostReadersRefused(expiryWindowMs),
 		});
+		const store = new EraCheckedStore(deps.store, this.#state.storeEra);
 		this.#peers = new PeerTable({self: this.#self, timers, logger});
 		this.#demand = new FleetDemand({peers: this.#peers, meter: this.#slotDemandMeter, latency: this.#latency});
 		this.#replicaSync = new ReplicaSync({
-			replicas: this.#state.replicas, client: this.#peerClient, timers, logger, region: location.region, isReading: () => this.#readerRole.isReading, onAdopted: collection => {
+			replicas: this.#state.replicas, storeEra: this.#state.storeEra, client: this.#peerClient, timers, logger, region: location.region, isReading: () => this.#readerRole.isReading, onAdopted: collection => {
 				this.#followers.restartWatch(collection);
 			},
 		});
@@ -137,7 +139,7 @@
 			},
 		});
 		this.#registration = new Registration({
-			store: deps.store,
+			store,
 			breaker: this.#breaker,
 			vms: this.#state.replicas[Collection.vms],
 			table: this.#peers,
@@ -152,7 +154,7 @@
 			},
 		});
 		this.#followers = new StoreFollowers({
-			store: deps.store,
+			store,
 			replicas: this.#state.replicas,
 			breaker: this.#breaker,
 			timers,
@@ -218,13 +220,10 @@
 			});
 		}
 
-		const unknownValues = this.#metrics.gauge('fescuewick_configuration_unknown_values', 'Values of the configuration in force that this version does not know and reads with the safest meaning');
-		unknownValues.set(0);
 		registerGauges({
-			metrics: this.#metrics, placer: this.#placer, handler: this.#handler, replicas: this.#state.replicas, timers,
+			metrics: this.#metrics, placer: this.#placer, handler: this.#handler, state: this.#state, timers,
 		});
 		this.#state.events.on('configuration', index => {
-			unknownValues.set(index.configuration.unknownValues?.length ?? 0);
 			this.#limiter.configure(index.workspaces.values());
 			applyLimits(this.#frontServer, index.configuration.limits);
 		});
@@ -326,6 +325,7 @@
 			incarnation: this.#incarnation,
 			isReady: this.isReady,
 			storeAccess: this.#readerRole.access,
+			storeEra: this.#state.storeEra.value,
 			revisions: Object.fromEntries(followedCollections.map(collection => [collection, this.#state.replicas[collection].advertisedRevisions])),
 			storeReadings: this.#state.readings(),
 			buckets: this.#limiter.reports(isFull, scope === HeartbeatScope.fleet),
--- a/packages/gateway/src/model/records.ts
+++ b/packages/gateway/src/model/records.ts
@@ -20,6 +20,8 @@
 	readonly coldForMs: number;
 	/** Wall-clock time of its start; distinguishes restarts under the same id. */
 	readonly startedAtMs: number;
+	/** Rises with each writing of the record by the same start of the server, if the platform counts them. */
+	readonly sequence?: number;
 };
 
 const addressPattern = /^(?:(?<ipv4>[\d.]+)|\[(?<ipv6>[\da-fA-F:.]+)]):(?<port>\d{1,5})$/;
--- a/packages/gateway/src/peers/heartbeat.test.ts
+++ b/packages/gateway/src/peers/heartbeat.test.ts
@@ -12,6 +12,7 @@
 	sequence: 12,
 	isReady: true,
 	storeAccess: StoreAccess.reading,
+	storeEra: 3,
 	revisions: {
 		[Collection.configurations]: {valid: 9, changed: 4}, [Collection.backends]: {valid: 9, changed: 9}, [Collection.evacuations]: {valid: -1, changed: -1},
 	},
@@ -27,7 +28,7 @@
 
 test('a datagram of another format is not decoded as a heartbeat', t => {
 	// Guards against a foreign datagram that ends the process with an exception.
-	for (const datagram of [Buffer.alloc(0), Buffer.from('hello'), encode([3, 2]), encode([3, 1, 1, true, 0, [], [], [], [], [], []]), encode([2, 1, 1, true, 0, [], [], [], [], [], [], []]), encode([4, 'x', 1, true, 0, [], [], [], [], [], [], []])]) {
+	for (const datagram of [Buffer.alloc(0), Buffer.from('hello'), encode([3, 2]), encode([3, 1, 1, true, 0, [], [], [], [], [], []]), encode([4, 1, 1, true, 0, [], [], [], [], [], [], []]), encode([5, 'x', 1, true, 0, [], [], [], [], [], [], [], 1])]) {
 		t.is(decodeHeartbeat(datagram), undefined);
 	}
 });
--- a/packages/gateway/src/peers/heartbeat.ts
+++ b/packages/gateway/src/peers/heartbeat.ts
@@ -18,6 +18,8 @@
 	/** Whether the directory may name the VM to callers. */
 	readonly isReady: boolean;
 	readonly storeAccess: StoreAccess;
+	/** Highest era of the store that the VM knows of, which is that of the revisions and readings; 0 if it knows none. */
+	readonly storeEra: number;
 	/** Revisions of the replicas by collection. */
 	readonly revisions: Readonly<Record<string, ReplicaRevisions>>;
 	/** What the store last showed to the VM, by collection; a collection is missing while the store has shown nothing. */
@@ -30,8 +32,8 @@
 	readonly shiftedFractions: ShiftedFractions;
 };
 
-const formatVersion = 4;
-const fieldCount = 12;
+const formatVersion = 5;
+const fieldCount = 13;
 /** Rates and slots are encoded in tenths, fractions in hundredths. */
 const rateScale = 10;
 const fractionScale = 100;
@@ -44,7 +46,7 @@
 type FlatEntries = ReadonlyArray<string | number | null>;
 
 /** Encodes a heartbeat as one datagram; fields are encoded by position, because their names would take most of the bytes. */
-export function encodeHeartbeat({record, incarnation, sequence, isReady, storeAccess, revisions, storeReadings, buckets, slotDemand, shiftedFractions}: Heartbeat): Buffer {
+export function encodeHeartbeat({record, incarnation, sequence, isReady, storeAccess, storeEra, revisions, storeReadings, buckets, slotDemand, shiftedFractions}: Heartbeat): Buffer {
 	const flatRevisions = followedCollections.flatMap(collection => [revisions[collection].valid, revisions[collection].changed]);
 	return encode([
 		formatVersion,
@@ -59,6 +61,7 @@
 		Object.entries(slotDemand.bound).flatMap(([region, bound]) => chunksOf(flattenSlots(bound), 2).flatMap(([service, slots]) => [region, service, slots])),
 		Object.entries(shiftedFractions).flatMap(([service, fractions]) => Object.entries(fractions).flatMap(([region, fraction]) => [service, region, Math.round(fraction * fractionScale)])),
 		followedCollections.flatMap(collection => encodeReading(storeReadings[collection], revisions[collection])),
+		storeEra,
 	]);
 }
 
@@ -75,8 +78,8 @@
 		return undefined;
 	}
 
-	const [, incarnation, sequence, isReady, storeAccess, flatRevisions, recordFields, buckets, freeDemand, bound, shifted, flatReadings] = fields as [number, number, number, boolean, StoreAccess, number[], string[], FlatEntries, FlatEntries, FlatEntries, FlatEntries, FlatEntries];
-	if (typeof incarnation !== 'number' || recordFields?.length !== 6 || ![flatRevisions, recordFields, buckets, freeDemand, bound, shifted, flatReadings].every(field => Array.isArray(field))) {
+	const [, incarnation, sequence, isReady, storeAccess, flatRevisions, recordFields, buckets, freeDemand, bound, shifted, flatReadings, storeEra] = fields as [number, number, number, boolean, StoreAccess, number[], string[], FlatEntries, FlatEntries, FlatEntries, FlatEntries, FlatEntries, number];
+	if (typeof incarnation !== 'number' || !Number.isSafeInteger(storeEra) || storeEra < 0 || recordFields?.length !== 6 || ![flatRevisions, recordFields, buckets, freeDemand, bound, shifted, flatReadings].every(field => Array.isArray(field))) {
 		return undefined;
 	}
 
@@ -94,6 +97,7 @@
 		sequence,
 		isReady,
 		storeAccess,
+		storeEra,
 		revisions,
 		storeReadings: readReadings(flatReadings, revisions),
 		buckets: Object.fromEntries(chunksOf(buckets, 4).map(([workspace, passed, askedPerS, tokens]) => [String(workspace), {passed: Number(passed), askedPerS: Number(askedPerS) / rateScale, tokens: tokens === null ? undefined : Number(tokens)}])),
--- a/packages/gateway/src/peers/malformed-messages.test.ts
+++ b/packages/gateway/src/peers/malformed-messages.test.ts
@@ -25,7 +25,7 @@
 	}));
 });
 
-const well: unknown[] = [4, 1, 1, true, 'reading', [1, 1, 1, 1, 1, 1], ['a2', 'north-1', 'north', '127.0.0.1:9', '127.0.0.1:9', '127.0.0.1:9'], [], [], [], [], [34, 0, null, 0, 0, 5]];
+const well: unknown[] = [5, 1, 1, true, 'reading', [1, 1, 1, 1, 1, 1], ['a2', 'north-1', 'north', '127.0.0.1:9', '127.0.0.1:9', '127.0.0.1:9'], [], [], [], [], [34, 0, null, 0, 0, 5], 2];
 
 test('a heartbeat with a field of another type is not decoded', t => {
 	t.not(decodeHeartbeat(encode(well)), undefined);
@@ -37,6 +37,10 @@
 	for (const revisions of [['x', 1, 1, 1, 1, 1], [1], [null, null, null, null, null, null]]) {
 		t.is(decodeHeartbeat(encode(well.with(5, revisions))), undefined);
 	}
+
+	for (const era of [-1, 1.5, '2', null, Number.NaN, Number.POSITIVE_INFINITY, [], 2 ** 60]) {
+		t.is(decodeHeartbeat(encode(well.with(12, era))), undefined);
+	}
 });
 
 test('a malformed reading of the store in a heartbeat is left out', t => {
@@ -53,7 +57,7 @@
 	const socket = createSocket('udp4');
 	const samples = [
 		...fc.sample(fc.uint8Array({maxLength: 40}), 200).map(bytes => Buffer.from(bytes)),
-		...fc.sample(fc.tuple(fc.integer({min: 4, max: 11}), fc.jsonValue()), 300).map(([index, value]) => Buffer.concat([Buffer.of(3), encode(well.with(index, value))])),
+		...fc.sample(fc.tuple(fc.integer({min: 4, max: 12}), fc.jsonValue()), 300).map(([index, value]) => Buffer.concat([Buffer.of(3), encode(well.with(index, value))])),
 		Buffer.concat([Buffer.of(9), encode(['leaving', 's1', 1])]),
 	];
 	for (const sample of samples) {
--- a/packages/gateway/src/peers/peer-client.ts
+++ b/packages/gateway/src/peers/peer-client.ts
@@ -2,7 +2,7 @@
 import {Agent, request} from 'undici';
 import {FescuewickError, ResultCode} from '@fescuewick/core';
 import {readBounded} from '@fescuewick/entry/http';
-import {type Collection} from '@fescuewick/store';
+import {type Collection, type StorePosition} from '@fescuewick/store';
 import {type VmRecord} from '../model/records.js';
 import {type ReplicaDelta, type ReplicaSnapshot} from '../state/replica.js';
 
@@ -20,10 +20,10 @@
 		connections: 1, pipelining: 1, keepAliveTimeout: idleTimeoutMs, keepAliveMaxTimeout: idleTimeoutMs, connect: {timeout: callTimeoutMs / 2},
 	});
 
-	/** Reads a collection from a peer: the changes after `sinceRevision`, or all records if the peer no longer has all of these changes. */
-	async readCollection(peerAddress: string, collection: Collection, sinceRevision: number): Promise<ReplicaSnapshot | ReplicaDelta> {
-		const answer = await this.#get(peerAddress, `/v1/collections/${collection}?since=${sinceRevision}`) as ReplicaSnapshot | ReplicaDelta | undefined;
-		if (typeof answer?.valid !== 'number' || typeof answer.changed !== 'number' || !Array.isArray('records' in answer ? answer.records : answer.changes)) {
+	/** Reads a collection from a peer: the changes after a position, or all records if the peer no longer has all of these changes. */
+	async readCollection(peerAddress: string, collection: Collection, {revision, era = 0}: StorePosition): Promise<ReplicaSnapshot | ReplicaDelta> {
+		const answer = await this.#get(peerAddress, `/v1/collections/${collection}?since=${revision}&era=${era}`) as ReplicaSnapshot | ReplicaDelta | undefined;
+		if (typeof answer?.valid !== 'number' || typeof answer.changed !== 'number' || typeof (answer.era ?? 0) !== 'number' || !Array.isArray('records' in answer ? answer.records : answer.changes)) {
 			throw new FescuewickError(ResultCode.frameMalformed, `${peerAddress} sent a malformed answer for collection ${collection}`);
 		}
 
--- a/packages/gateway/src/peers/peer-table.test.ts
+++ b/packages/gateway/src/peers/peer-table.test.ts
@@ -9,7 +9,7 @@
 	const timers = new ManualTimerService();
 	const table = new PeerTable({self: vmRecord('a1', 'north-1'), timers, logger: createSilentLogger()});
 	const recordHeartbeat = (vm: string, changes: Partial<Heartbeat> = {}) => table.recordHeartbeat({
-		record: vmRecord(vm, 'north-2'), incarnation: 1, sequence: timers.nowMs(), isReady: true, storeAccess: StoreAccess.idle, revisions: {}, storeReadings: {}, buckets: {}, slotDemand: {free: {}, bound: {}}, shiftedFractions: {}, ...changes,
+		record: vmRecord(vm, 'north-2'), incarnation: 1, sequence: timers.nowMs(), isReady: true, storeAccess: StoreAccess.idle, storeEra: 0, revisions: {}, storeReadings: {}, buckets: {}, slotDemand: {free: {}, bound: {}}, shiftedFractions: {}, ...changes,
 	});
 	return {timers, table, recordHeartbeat};
 }
@@ -44,7 +44,7 @@
 	t.false(recordHeartbeat('b1', {sequence: 4}));
 	t.true(recordHeartbeat('b1', {sequence: 1, incarnation: 2}));
 	t.false(table.recordHeartbeat({
-		record: table.self, incarnation: 1, sequence: 1, isReady: true, storeAccess: StoreAccess.idle, revisions: {}, storeReadings: {}, buckets: {}, slotDemand: {free: {}, bound: {}}, shiftedFractions: {},
+		record: table.self, incarnation: 1, sequence: 1, isReady: true, storeAccess: StoreAccess.idle, storeEra: 0, revisions: {}, storeReadings: {}, buckets: {}, slotDemand: {free: {}, bound: {}}, shiftedFractions: {},
 	}));
 });
 
--- a/packages/gateway/src/peers/registration.ts
+++ b/packages/gateway/src/peers/registration.ts
@@ -2,8 +2,9 @@
 	ResultCode, toFescuewickError, type Cancel, type Logger, type TimerService,
 } from '@fescuewick/core';
 import {
-	Collection, Freshness, type CollectionStore, type Listing,
+	Collection, Freshness, type Listing,
 } from '@fescuewick/store';
+import {type EraCheckedStore} from '../state/era-checked-store.js';
 import {type Replica} from '../state/replica.js';
 import {type StoreCircuitBreaker} from '../state/store-circuit-breaker.js';
 import {type PeerClient} from './peer-client.js';
@@ -15,12 +16,14 @@
 const queryPauseMs = 1000;
 /** Number of queries after the registration; the second one finds VMs that no peer knew at the first one. */
 const queryRounds = 2;
+/** Longest pause before a VM registers again with a restored store, in milliseconds; all VMs do so at about the same time. */
+const maxRenewalDelayMs = 1000;
 /** Number of peers queried in a round; one of them may have stopped. */
 const peersPerQuery = 2;
 
 /** Dependencies of the registration. */
 export type RegistrationOptions = {
-	readonly store: CollectionStore;
+	readonly store: EraCheckedStore;
 	readonly breaker: StoreCircuitBreaker;
 	readonly vms: Replica;
 	readonly table: PeerTable;
@@ -35,21 +38,28 @@
 	readonly onDiscovered: () => void;
 };
 
-/** Registers this VM in the store and discovers the others: from the store, from peers, and from seeds while there is no configuration. */
+/** Registers this VM in the store, again after each restore of the store from a copy, and discovers the others: from the store, from peers, and from seeds while there is no configuration. */
 export class Registration {
 	readonly #caller = Symbol('registration');
+	readonly #renewalCaller = Symbol('registration-renewal');
 	#cancel: Cancel | undefined;
+	#unsubscribe: (() => void) | undefined;
+	#isRenewing = false;
 	#isStopped = false;
 
 	constructor(private readonly options: RegistrationOptions) {}
 
 	start(): void {
+		this.#unsubscribe = this.options.store.era.events.on('raised', () => {
+			void this.#renew();
+		});
 		void this.#register();
 		this.#scheduleSeeds();
 	}
 
 	stop(): void {
 		this.#isStopped = true;
+		this.#unsubscribe?.();
 		this.#cancel?.();
 	}
 
@@ -70,6 +80,30 @@
 		this.#notifyDiscovered();
 	}
 
+	/** Writes this VM's record to a restored store, whose copy may lack it. */
+	async #renew(): Promise<void> {
+		const {store, table, timers, random, logger} = this.options;
+		if (this.#isRenewing) {
+			return;
+		}
+
+		this.#isRenewing = true;
+		let writtenEra: number;
+		do {
+			await timers.sleep(random() * maxRenewalDelayMs);
+			// A record that is written after the VM knows of an era is part of that era.
+			writtenEra = store.era.value;
+			await this.#callStore(async () => store.put(Collection.vms, table.self.vm, table.self), this.#renewalCaller);
+		} while (writtenEra < store.era.value && !this.#isStopped);
+
+		this.#isRenewing = false;
+		if (this.#isStopped) {
+			return;
+		}
+
+		logger.info({event: 'registered-again', era: writtenEra}, 'wrote the record of this VM to the restored store');
+	}
+
 	#notifyDiscovered(): void {
 		if (!this.#isStopped) {
 			this.options.onDiscovered();
@@ -77,18 +111,18 @@
 	}
 
 	/** Repeats a store call until it succeeds. */
-	async #callStore(call: () => Promise<void>): Promise<void> {
+	async #callStore(call: () => Promise<void>, caller = this.#caller): Promise<void> {
 		const {breaker, logger} = this.options;
 		for (let isDone = false; !isDone && !this.#isStopped;) {
-			await breaker.waitForTurn(this.#caller);
+			await breaker.waitForTurn(caller);
 			try {
 				await call();
 				isDone = true;
-				breaker.succeeded(this.#caller);
+				breaker.succeeded(caller);
 			} catch (error) {
 				const {code, message} = toFescuewickError(error);
 				logger.warn({event: 'register-failed', code, reason: message}, 'could not register this VM');
-				breaker.failed(this.#caller, message);
+				breaker.failed(caller, message);
 			}
 		}
 	}
--- a/packages/gateway/src/peers/replica-sync.ts
+++ b/packages/gateway/src/peers/replica-sync.ts
@@ -1,7 +1,8 @@
 import {toFescuewickError, type Logger, type TimerService} from '@fescuewick/core';
 import {type Collection} from '@fescuewick/store';
 import {followedCollections} from '../state/followed-collections.js';
-import {type Replica} from '../state/replica.js';
+import {type Replica, type ReplicaRevisions} from '../state/replica.js';
+import {type StoreEra} from '../state/store-era.js';
 import {type Heartbeat} from './heartbeat.js';
 import {type PeerClient} from './peer-client.js';
 import {StoreAccess} from './store-readers.js';
@@ -16,7 +17,8 @@
 
 type ReplicaSyncOptions = {
 	readonly replicas: Readonly<Record<Collection, Replica>>;
-	readonly client: PeerClient;
+	readonly storeEra: StoreEra;
+	readonly client: Pick<PeerClient, 'readCollection'>;
 	readonly timers: TimerService;
 	readonly logger: Logger;
 	/** Region of this VM. */
@@ -33,39 +35,43 @@
 
 	constructor(private readonly options: ReplicaSyncOptions) {}
 
-	/** Compares a peer's revisions with those of the replicas and fetches missing changes; a replica that lacks none is complete up to the peer's revision. */
-	onHeartbeat({record, storeAccess, revisions, storeReadings}: Heartbeat): void {
+	/** Compares a peer's revisions with those of the replicas and fetches missing changes; a replica that lacks none is complete up to the peer's revision. A peer in an earlier era of the store confirms nothing and has nothing that is missing here. */
+	onHeartbeat({record, storeAccess, storeEra: era, revisions, storeReadings}: Heartbeat): void {
+		this.options.storeEra.observePeer({era, revision: Math.max(...followedCollections.map(collection => revisions[collection].valid))}, record.peerAddress);
 		for (const collection of followedCollections) {
 			const replica = this.options.replicas[collection];
-			replica.confirm(revisions[collection]);
+			const peer = {...revisions[collection], era};
+			replica.confirm(peer);
 			if (storeReadings[collection] !== undefined) {
-				replica.confirmPeerReading(storeReadings[collection]);
+				replica.confirmPeerReading(storeReadings[collection], era);
 			}
 
-			if (!this.#running.has(collection) && replica.isBehind(revisions[collection])) {
+			if (!this.#running.has(collection) && replica.isBehind(peer)) {
 				this.#running.add(collection);
 				const hasRead = storeAccess === StoreAccess.reading || (storeReadings[collection]?.ageMs ?? Number.POSITIVE_INFINITY) <= freshReadingMs;
-				void this.#fetch(collection, record.peerAddress, revisions[collection].changed, hasRead && record.region === this.options.region);
+				void this.#fetch(collection, record.peerAddress, peer, hasRead && record.region === this.options.region);
 			}
 		}
 	}
 
-	async #fetch(collection: Collection, peerAddress: string, changed: number, isReaderOfOwnRegion: boolean): Promise<void> {
-		const {replicas, client, timers, logger, isReading, onAdopted} = this.options;
+	async #fetch(collection: Collection, peerAddress: string, peer: ReplicaRevisions, isReaderOfOwnRegion: boolean): Promise<void> {
+		const {replicas, storeEra, client, timers, logger, isReading, onAdopted} = this.options;
 		const replica = replicas[collection];
 		try {
 			if (replica.isLoaded && (isReading() || !isReaderOfOwnRegion)) {
 				await timers.sleep(isReading() ? readerFetchDelayMs : nonReaderFetchDelayMs);
 			}
 
-			if (!replica.isBehind({valid: changed, changed})) {
+			if (!replica.isBehind(peer)) {
 				return;
 			}
 
-			const heldRevision = replica.revisions.valid;
-			if (replica.adopt(await client.readCollection(peerAddress, collection, heldRevision))) {
+			const {position} = replica;
+			const answer = await client.readCollection(peerAddress, collection, position);
+			storeEra.observePeer({era: answer.era ?? 0, revision: answer.valid}, peerAddress);
+			if (replica.adopt(answer)) {
 				logger.info({
-					event: 'relayed', collection, from: peerAddress, heldRevision, ...replica.revisions,
+					event: 'relayed', collection, from: peerAddress, heldRevision: position.revision, ...replica.revisions,
 				}, 'updated a replica from a peer');
 				onAdopted(collection);
 			}
--- a/packages/gateway/src/server/auxiliary-servers.ts
+++ b/packages/gateway/src/server/auxiliary-servers.ts
@@ -82,8 +82,9 @@
 export function createPeerServer({replicas, members}: AuxiliaryServerOptions): Server {
 	const collections = Object.values(Collection).map((collection): [string, Handler] => [`/v1/collections/${collection}`, (request, response) => {
 		if (replicas[collection].isLoaded) {
-			const since = Number(new URL(request.url ?? '', 'http://peer').searchParams.get('since') ?? '-1');
-			sendCbor(response, replicas[collection].changesSince(Number.isFinite(since) ? since : -1));
+			const {searchParams} = new URL(request.url ?? '', 'http://peer');
+			const since = Number(searchParams.get('since') ?? '-1');
+			sendCbor(response, replicas[collection].changesSince(Number.isFinite(since) ? since : -1, Number(searchParams.get('era') ?? '0')));
 		} else {
 			response.writeHead(503).end();
 		}
--- a/packages/gateway/src/server/gauges.ts
+++ b/packages/gateway/src/server/gauges.ts
@@ -1,5 +1,5 @@
 import {countBy} from 'es-toolkit';
-import {Gauge} from 'prom-client';
+import {Counter, Gauge} from 'prom-client';
 import {type Metrics, type TimerService} from '@fescuewick/core';
 import {Condition} from '../placement/backend.js';
 import {type Placer} from '../placement/placer.js';
@@ -11,12 +11,12 @@
 	readonly metrics: Metrics;
 	readonly placer: Placer;
 	readonly handler: RequestHandler;
-	readonly replicas: FleetState['replicas'];
+	readonly state: FleetState;
 	readonly timers: TimerService;
 };
 
-/** Registers gauges that are computed when metrics are read: backend servers by condition, memory for bodies, and ages of replicas. */
-export function registerGauges({metrics: {registry}, placer, handler, replicas, timers}: GaugeSources): void {
+/** Registers gauges that are computed when metrics are read: backend servers by condition, memory for bodies, unknown values of the configuration, ages of replicas and the era of the store. */
+export function registerGauges({metrics: {registry}, placer, handler, state, timers}: GaugeSources): void {
 	const registers = [registry];
 	const backends = new Gauge({
 		name: 'fescuewick_backends',
@@ -45,8 +45,33 @@
 		registers,
 		collect() {
 			for (const collection of followedCollections) {
-				ages.set({collection}, (timers.nowMs() - replicas[collection].confirmedAtMs) / 1000);
+				ages.set({collection}, (timers.nowMs() - state.replicas[collection].confirmedAtMs) / 1000);
 			}
 		},
 	});
+	const unknownValues = new Gauge({
+		name: 'fescuewick_configuration_unknown_values',
+		help: 'Values of the configuration in force that this version does not know and reads with the safest meaning',
+		registers,
+		collect() {
+			unknownValues.set(state.configuration?.configuration.unknownValues?.length ?? 0);
+		},
+	});
+	const era = new Gauge({
+		name: 'fescuewick_store_era',
+		help: 'Highest era of the store that this VM knows of; rises by one when the store is restored from a copy',
+		registers,
+		collect() {
+			era.set(state.storeEra.value);
+		},
+	});
+	const answersWithoutEra = new Counter({
+		name: 'fescuewick_store_answers_without_era_total',
+		help: 'Answers of the store whose era is missing or cannot be read',
+		registers,
+		collect() {
+			answersWithoutEra.reset();
+			answersWithoutEra.inc(state.storeEra.answersWithoutEra);
+		},
+	});
 }
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -1,12 +1,15 @@
+import {isDeepStrictEqual} from 'node:util';
 import Emittery from 'emittery';
 import {type Logger, type TimerService} from '@fescuewick/core';
-import {Collection} from '@fescuewick/store';
+import {Collection, type CollectionRecord} from '@fescuewick/store';
 import {ConfigurationIndex, type Configuration} from '../model/configuration.js';
 import {BackendState, type BackendRecord} from '../model/records.js';
+import {DepartedBackends} from './departed-backends.js';
 import {followedCollections} from './followed-collections.js';
 import {
 	Replica, type RemovedRecord, type ReplicaChange, type StoreReading,
 } from './replica.js';
+import {StoreEra} from './store-era.js';
 
 /** Window in which removals are counted together, in milliseconds. */
 const removalWindowMs = 1500;
@@ -18,6 +21,14 @@
 /** Time that the last request needs to reach a server that is no longer used, in milliseconds. */
 const requestMs = 100;
 
+/** Time after a restore of the store in which removed entries may have expired, in milliseconds; their last renewals may be lost. */
+const restoreWindowMs = 3000;
+
+/**
+How long entries in a copy from which the store was restored are passed over if this VM knows later ones, in milliseconds. Live servers restore their entries within about 2 s; the entry of a server that left expires in the store.
+*/
+const outdatedEntryMs = 30_000;
+
 /** Unknown values of a configuration that its log line names; the others are counted. */
 const maxReportedValues = 5;
 
@@ -39,15 +50,27 @@
 /** Configuration, backend servers and evacuations as known from the replicas of this VM. */
 export class FleetState {
 	readonly events = new Emittery<{configuration: ConfigurationIndex; backends: undefined; evacuation: {failureDomain: string; isEvacuated: boolean}}>();
+	readonly storeEra = new StoreEra();
 	readonly replicas: Readonly<Record<Collection, Replica>>;
 
 	#configuration: ConfigurationIndex | undefined;
+	/** Era of the store from which the configuration was read. */
+	#configurationEra = 0;
+	readonly #departed: DepartedBackends;
 	readonly #backends = new Map<string, KnownBackend>();
 	#evacuated: ReadonlySet<string> = new Set();
 	#removedAtMs: number[] = [];
+	#restoredAtMs = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly options: FleetStateOptions) {
-		const createReplica = () => new Replica(() => options.timers.nowMs());
+		this.#departed = new DepartedBackends(options.timers);
+		this.storeEra.events.on('raised', ({from, to, source}) => {
+			this.#restoredAtMs = options.timers.nowMs();
+			options.logger.warn({
+				event: 'store-era', fromEra: from.era, fromRevision: from.revision, era: to.era, revision: to.revision, source,
+			}, 'the store was restored from a copy');
+		});
+		const createReplica = () => new Replica(() => options.timers.nowMs(), this.storeEra);
 		this.replicas = {
 			[Collection.configurations]: createReplica(),
 			[Collection.backends]: createReplica(),
@@ -107,12 +130,14 @@
 			}
 
 			const configuration = value as Configuration;
-			if (this.#configuration !== undefined && configuration.version <= this.#configuration.version) {
+			const {era} = this.replicas[Collection.configurations].position;
+			if (this.#configuration !== undefined && !this.#isNewer(configuration, era, this.#configuration.configuration)) {
 				this.options.logger.warn({event: 'configuration-ignored', version: configuration.version, held: this.#configuration.version}, 'ignored a configuration that is not newer');
 				continue;
 			}
 
 			this.#configuration = new ConfigurationIndex(configuration);
+			this.#configurationEra = era;
 			this.options.logger.info({
 				event: 'configuration', version: configuration.version, routes: configuration.routes.length, workspaces: configuration.workspaces.length,
 			}, 'configuration applied');
@@ -121,6 +146,12 @@
 		}
 	}
 
+	/** Whether a configuration replaces the one in force. A version may be given out again after a restore of the store; the later one was written in the later era. */
+	#isNewer(configuration: Configuration, era: number, current: Configuration): boolean {
+		const isVersionGivenOutAgain = configuration.version === current.version && era > this.#configurationEra && !isDeepStrictEqual(configuration, current);
+		return configuration.version > current.version || isVersionGivenOutAgain;
+	}
+
 	#reportUnknownValues({version, unknownValues = []}: Configuration): void {
 		if (unknownValues.length > 0) {
 			this.options.logger.warn({
@@ -129,16 +160,24 @@
 		}
 	}
 
-	#onBackends({changed, removed}: ReplicaChange): void {
+	#onBackends({changed, removed, isRestore = false}: ReplicaChange): void {
 		const {timers, logger} = this.options;
 		const nowMs = timers.nowMs();
-		for (const {name, value} of changed) {
+		const outdated: CollectionRecord[] = [];
+		for (const changedRecord of changed) {
+			const {name, value} = changedRecord;
 			const record = value as BackendRecord | undefined;
 			if (record === undefined) {
 				this.#backends.delete(name);
 				continue;
 			}
 
+			if (isRestore && this.#departed.isOutdated(record, this.#backends.get(name)?.record)) {
+				outdated.push(changedRecord);
+				continue;
+			}
+
+			this.#departed.delete(name);
 			const known = this.#backends.get(name);
 			if (known?.record.state !== record.state || known.record.startedAtMs !== record.startedAtMs) {
 				logger.info({
@@ -149,22 +188,44 @@
 			this.#backends.set(name, {record, receivedAtMs: nowMs});
 		}
 
-		this.#onRemoved(removed, nowMs);
+		this.#passOver(outdated);
+		this.#onRemoved(removed, nowMs, isRestore);
 		void this.events.emit('backends');
 	}
 
-	#onRemoved(removed: readonly RemovedRecord[], nowMs: number): void {
+	/** Applies outdated entries of a copy only if they are not written again within a time. */
+	#passOver(outdated: readonly CollectionRecord[]): void {
+		const {timers, logger} = this.options;
+		if (outdated.length === 0) {
+			return;
+		}
+
+		logger.info({event: 'backends-outdated', count: outdated.length, first: outdated.slice(0, maxReportedValues).map(({name}) => name)}, 'the copy of the store lists backend servers as they were before they left, drained or restarted');
+		const replica = this.replicas[Collection.backends];
+		const {era} = replica.position;
+		timers.after(outdatedEntryMs, () => {
+			if (replica.position.era === era) {
+				this.#onBackends({changed: outdated.filter(({name, revision}) => replica.records.get(name)?.revision === revision), removed: []});
+			}
+		});
+	}
+
+	#onRemoved(removed: readonly RemovedRecord[], nowMs: number, isRestore: boolean): void {
 		this.#removedAtMs = this.#removedAtMs.filter(atMs => atMs > nowMs - removalWindowMs);
 		// A removed record carries the last state of the batch, so a change to draining counts even if it came together with the removal.
 		const readyNames = new Set(removed.filter(({name, value}) => ((value as BackendRecord | undefined) ?? this.#backends.get(name)?.record)?.state === BackendState.ready).map(({name}) => name));
 		this.#removedAtMs.push(...[...readyNames].map(() => nowMs));
-		const mayHaveExpired = this.options.mayHaveExpired() || this.#removedAtMs.length >= minRemovalsForExpiry;
+		const mayHaveExpired = isRestore || nowMs - this.#restoredAtMs < restoreWindowMs || this.options.mayHaveExpired() || this.#removedAtMs.length >= minRemovalsForExpiry;
 		for (const {name, ageMs, maxAgeMs} of removed) {
 			const known = this.#backends.get(name);
 			if (known === undefined) {
 				continue;
 			}
 
+			if (!isRestore) {
+				this.#departed.add(known.record);
+			}
+
 			// If the removal came through a peer, the hold counts from when the first VM learned of it and not from its arrival at this VM.
 			const holdMs = Math.min(expiryHoldMs - ageMs, this.#usableForMs(maxAgeMs));
 			const isHeld = mayHaveExpired && readyNames.has(name) && holdMs > 0;
--- a/packages/gateway/src/state/replica.ts
+++ b/packages/gateway/src/state/replica.ts
@@ -1,8 +1,10 @@
 import {performance} from 'node:perf_hooks';
+import {isDeepStrictEqual} from 'node:util';
 import Emittery from 'emittery';
 import {
-	type CollectionRecord, type Listing, type RecordChange,
+	comparePositions, type CollectionRecord, type Listing, type RecordChange, type StorePosition,
 } from '@fescuewick/store';
+import {StoreEra} from './store-era.js';
 
 /** Batches of changes that a replica retains for peers; a peer that lacks more gets all records. Peers that have not just restarted lag by less than a second of changes. */
 const maxRetainedBatches = 128;
@@ -13,8 +15,12 @@
 	readonly valid: number;
 	/** The last change happened at or before this revision. */
 	readonly changed: number;
+	/** Era of both revisions; 0 if it is missing. */
+	readonly era?: number;
 };
 
+const notLoaded: ReplicaRevisions = {valid: -1, changed: -1};
+
 /** What an answer of the store to a VM showed about a collection, as sent to peers. */
 export type StoreReading = {
 	/** The last change that the answer could show happened at or before this revision. */
@@ -41,14 +47,20 @@
 };
 
 /** Records that an update of a replica changed and removed. */
-export type ReplicaChange = {readonly changed: readonly CollectionRecord[]; readonly removed: readonly RemovedRecord[]};
+export type ReplicaChange = {
+	readonly changed: readonly CollectionRecord[];
+	readonly removed: readonly RemovedRecord[];
+	/** The update replaced the replica after the store was restored from a copy, so it may show earlier states of records, and removed ones. */
+	readonly isRestore?: boolean;
+};
 
 type RetainedBatch = {readonly changes: ReadonlyArray<RecordChange & {readonly atMs: number}>; readonly revision: number};
 
-/** A VM's copy of a collection; its revision never decreases. */
+/** A VM's copy of a collection; its position in the history of the store never goes back. */
 export class Replica {
 	readonly events = new Emittery<{change: ReplicaChange}>();
 	#records = new Map<string, CollectionRecord>();
+	#era = 0;
 	#valid = -1;
 	#changed = -1;
 	/** Whether `#changed` includes removals; a first listing shows only the revisions of the remaining records. */
@@ -57,22 +69,36 @@
 	readonly #batches: RetainedBatch[] = [];
 	/** Revision from which `#batches` holds all changes. */
 	#batchesSince = -1;
-	/** Revision of the first listing; earlier removals are not known. */
+	/** Revision of the first listing of the era; earlier removals are not known. */
 	#listedRevision = -1;
 	/** Last time at which an answer of the store to this VM showed that the replica was complete. */
 	#readAtMs = Number.NEGATIVE_INFINITY;
 	/** The same for answers of the store to any VM. */
 	#confirmedAtMs = Number.NEGATIVE_INFINITY;
 
-	/** `nowMs` is a monotonic clock in milliseconds. */
-	constructor(private readonly nowMs: () => number = () => performance.now()) {}
+	/** `nowMs` is a monotonic clock in milliseconds; `storeEra` is shared by the replicas of a VM. */
+	constructor(private readonly nowMs: () => number = () => performance.now(), private readonly storeEra = new StoreEra()) {}
 
 	get revisions(): ReplicaRevisions {
-		return {valid: this.#valid, changed: this.#changed};
+		return this.#era === 0 ? {valid: this.#valid, changed: this.#changed} : {valid: this.#valid, changed: this.#changed, era: this.#era};
+	}
+
+	/** Position up to which the replica is complete. */
+	get position(): Required<StorePosition> {
+		return {revision: this.#valid, era: this.#era};
+	}
+
+	/** Whether the replica is of the highest era known; if not, it is used until it is replaced, and nothing confirms it. */
+	get isCurrent(): boolean {
+		return !this.storeEra.isOver(this.position);
 	}
 
-	/** Revisions for heartbeats. A replica that does not know of its last removal is reported complete only up to its latest record. */
+	/** Revisions for heartbeats, in the highest era known; a replica of a lower era is reported as not loaded. One that does not know of its last removal is reported complete only up to its latest record. */
 	get advertisedRevisions(): ReplicaRevisions {
+		if (!this.isCurrent) {
+			return notLoaded;
+		}
+
 		return this.#knowsLastChange ? this.revisions : {valid: this.#changed, changed: this.#changed};
 	}
 
@@ -83,7 +109,7 @@
 
 	/** What the store last showed to this VM, for heartbeats; undefined before its first answer. */
 	get reading(): StoreReading | undefined {
-		if (this.#readAtMs === Number.NEGATIVE_INFINITY) {
+		if (!this.isCurrent || this.#readAtMs === Number.NEGATIVE_INFINITY) {
 			return undefined;
 		}
 
@@ -98,9 +124,9 @@
 		return this.#records;
 	}
 
-	/** Returns what a replica that is complete up to `revision` lacks: the changes if all of them are retained, otherwise all records. */
-	changesSince(revision: number): ReplicaSnapshot | ReplicaDelta {
-		if (revision < this.#batchesSince) {
+	/** Returns what a replica that is complete up to `revision` of `era` lacks: the changes if all of them are retained, otherwise all records. */
+	changesSince(revision: number, era = 0): ReplicaSnapshot | ReplicaDelta {
+		if (era !== this.#era || revision < this.#batchesSince) {
 			return {...this.revisions, records: [...this.#records.values()]};
 		}
 
@@ -109,41 +135,34 @@
 		return {...this.revisions, changes: missing.map(({record, isRemoved, atMs}) => isRemoved ? {record, isRemoved, ageMs: nowMs - atMs} : {record, isRemoved})};
 	}
 
-	/** Whether a peer's replica has changes that this one lacks. */
-	isBehind(peer: ReplicaRevisions): boolean {
-		return peer.changed > this.#valid;
+	/** Whether a peer's replica has changes that this one lacks; one of a lower era than the highest one known has none. */
+	isBehind({valid, changed, era = 0}: ReplicaRevisions): boolean {
+		const peerPosition = {revision: changed, era};
+		return valid >= 0 && !this.storeEra.isOver(peerPosition) && comparePositions(peerPosition, this.position) > 0;
 	}
 
-	/** Applies a listing of all records; returns false and ignores it if it is older than the replica. */
-	applyListing({records, revision}: Listing): boolean {
-		if (revision < this.#valid) {
+	/** Applies a listing of all records; returns false and ignores it if it is older than the replica or of an era that is over. */
+	applyListing({records, revision, era = 0}: Listing): boolean {
+		const position = {revision, era};
+		if (this.storeEra.isOver(position) || comparePositions(position, this.position) < 0) {
 			return false;
 		}
 
-		const change = this.#difference(records);
-		const isFirst = this.#valid < 0;
-		this.#valid = revision;
-		if (isFirst) {
-			this.#batchesSince = revision;
-			this.#listedRevision = revision;
-		}
-
-		if (isFirst || change.changed.length > 0 || change.removed.length > 0) {
-			this.#changed = isFirst ? Math.max(0, ...records.map(record => record.revision)) : revision;
-			this.#knowsLastChange = !isFirst;
-			this.#records = new Map(records.map(record => [record.name, record]));
-			if (!isFirst) {
-				this.#retain(change);
-			}
-
-			this.#emit(change);
+		if (this.isLoaded && era === this.#era) {
+			this.#update(records, revision);
+		} else {
+			this.#replace(records, position);
 		}
 
 		return true;
 	}
 
-	/** Applies changes that follow the replica's revision. */
-	applyChanges({changes, revision}: {readonly changes: readonly AgedChange[]; readonly revision: number}): void {
+	/** Applies changes that follow the replica's revision; has no effect if they are of another era. */
+	applyChanges({changes, revision, era = 0}: StorePosition & {readonly changes: readonly AgedChange[]}): void {
+		if (era !== this.#era) {
+			return;
+		}
+
 		const changed: CollectionRecord[] = [];
 		const removed: RemovedRecord[] = [];
 		const maxAgeMs = this.nowMs() - this.#confirmedAtMs;
@@ -182,19 +201,23 @@
 			return false;
 		}
 
+		const {valid: revision, changed, era} = peer;
 		if ('records' in peer) {
-			this.applyListing({records: peer.records, revision: peer.valid});
-		} else {
-			this.applyChanges({changes: peer.changes, revision: peer.valid});
-			this.#changed = peer.changed;
+			return this.applyListing({records: peer.records, revision, era});
 		}
 
+		if ((era ?? 0) !== this.#era) {
+			return false;
+		}
+
+		this.applyChanges({changes: peer.changes, revision, era});
+		this.#changed = changed;
 		return true;
 	}
 
 	/** Raises the valid revision to that of a peer whose replica has no change that this one lacks; returns whether it has increased. */
 	confirm(peer: ReplicaRevisions): boolean {
-		if (!this.isLoaded || this.isBehind(peer) || peer.valid < this.#valid) {
+		if (!this.isLoaded || !this.#isOfCurrentEra(peer.era) || this.isBehind(peer) || peer.valid < this.#valid) {
 			return false;
 		}
 
@@ -205,15 +228,19 @@
 		return isRaised;
 	}
 
-	/** Records that an answer of the store showed the replica complete as of `atMs`. */
-	confirmRead(atMs: number): void {
+	/** Records that an answer of the store in `era` showed the replica complete as of `atMs`; has no effect if the replica is of another era, or of one that is over. */
+	confirmRead(atMs: number, era = this.#era): void {
+		if (!this.#isOfCurrentEra(era)) {
+			return;
+		}
+
 		this.#readAtMs = Math.max(this.#readAtMs, atMs);
 		this.#confirmedAtMs = Math.max(this.#confirmedAtMs, atMs);
 	}
 
-	/** Records what the store showed to a peer; has no effect if this replica may lack a change that the peer's has. */
-	confirmPeerReading({changedBy, ageMs}: StoreReading): void {
-		if (this.isLoaded && this.#valid >= changedBy) {
+	/** Records what the store showed to a peer in `era`; has no effect if this replica may lack a change that the peer's has. */
+	confirmPeerReading({changedBy, ageMs}: StoreReading, era = this.#era): void {
+		if (this.isLoaded && this.#isOfCurrentEra(era) && this.#valid >= changedBy) {
 			this.#confirmedAtMs = Math.max(this.#confirmedAtMs, this.nowMs() - ageMs);
 		}
 	}
@@ -223,11 +250,48 @@
 		return this.#knowsLastChange ? this.#changed : this.#listedRevision;
 	}
 
-	#difference(records: readonly CollectionRecord[]): ReplicaChange {
+	#isOfCurrentEra(era = 0): boolean {
+		return era === this.#era && this.isCurrent;
+	}
+
+	/** Takes over a later listing of the same era. */
+	#update(records: readonly CollectionRecord[], revision: number): void {
+		const change = this.#difference(records, (known, record) => known.revision === record.revision);
+		this.#valid = revision;
+		if (change.changed.length > 0 || change.removed.length > 0) {
+			this.#changed = revision;
+			this.#knowsLastChange = true;
+			this.#records = new Map(records.map(record => [record.name, record]));
+			this.#retain(change);
+			this.#emit(change);
+		}
+	}
+
+	/** Takes over the first listing, or the first one of a new era, whose revisions say nothing about those before. The replica stays confirmed as of an earlier time, because the store answered in the earlier era only before it was restored. */
+	#replace(records: readonly CollectionRecord[], {revision, era}: Required<StorePosition>): void {
+		const isRestore = this.isLoaded;
+		const change = this.#difference(records, (known, record) => known.revision === record.revision && isDeepStrictEqual(known.value, record.value));
+		this.#era = era;
+		this.#valid = revision;
+		this.#changed = Math.max(0, ...records.map(record => record.revision));
+		this.#knowsLastChange = false;
+		this.#listedRevision = revision;
+		this.#batches.length = 0;
+		this.#batchesSince = revision;
+		this.#readAtMs = Number.NEGATIVE_INFINITY;
+		this.#records = new Map(records.map(record => [record.name, record]));
+		this.#emit(isRestore ? {...change, isRestore} : change);
+	}
+
+	/** Compares a listing with the replica; `isSame` says whether a record that both contain is unchanged. */
+	#difference(records: readonly CollectionRecord[], isSame: (known: CollectionRecord, record: CollectionRecord) => boolean): ReplicaChange {
 		const names = new Set(records.map(record => record.name));
 		const maxAgeMs = this.nowMs() - this.#confirmedAtMs;
 		return {
-			changed: records.filter(record => this.#records.get(record.name)?.revision !== record.revision),
+			changed: records.filter(record => {
+				const known = this.#records.get(record.name);
+				return known === undefined || !isSame(known, record);
+			}),
 			removed: [...this.#records.values()].filter(record => !names.has(record.name)).map(record => ({...record, ageMs: 0, maxAgeMs})),
 		};
 	}
--- a/packages/gateway/src/state/silent-watches.test.ts
+++ b/packages/gateway/src/state/silent-watches.test.ts
@@ -2,11 +2,15 @@
 import {
 	createMemoryLogger, FescuewickError, ManualTimerService, ResultCode, type TimerService,
 } from '@fescuewick/core';
-import {Collection, maxAnswerMs, type ChangeBatch} from '@fescuewick/store';
+import {
+	Collection, maxAnswerMs, type ChangeBatch, type StorePosition,
+} from '@fescuewick/store';
 import {MemoryCollectionStore} from '../testing/memory-collection-store.js';
+import {EraCheckedStore} from './era-checked-store.js';
 import {followedCollections} from './followed-collections.js';
 import {Replica} from './replica.js';
 import {StoreCircuitBreaker} from './store-circuit-breaker.js';
+import {StoreEra} from './store-era.js';
 import {StoreFollowers} from './store-followers.js';
 
 /** Time after a silence that the rules disregard, and time by which a change must then be in force, in milliseconds. */
@@ -32,7 +36,7 @@
 		}
 	}
 
-	override async watch(collection: Collection, afterRevision: number, waitMs: number, signal: AbortSignal): Promise<ChangeBatch> {
+	override async watch(collection: Collection, after: StorePosition, waitMs: number, signal: AbortSignal): Promise<ChangeBatch> {
 		const watch = Symbol(collection);
 		this.#open.set(watch, collection);
 		return new Promise((resolve, reject) => {
@@ -43,12 +47,12 @@
 			};
 
 			this.timers.after(waitMs, () => {
-				answer({changes: [], revision: afterRevision});
+				answer({changes: [], ...after});
 			});
 			this.timers.after(waitMs + maxAnswerMs, () => {
 				reject(new FescuewickError(ResultCode.storeTimeout, 'no answer'));
 			});
-			void this.#relay(async () => super.watch(collection, afterRevision, waitMs, signal), answer, reject);
+			void this.#relay(async () => super.watch(collection, after, waitMs, signal), answer, reject);
 		});
 	}
 
@@ -69,7 +73,7 @@
 	const breaker = new StoreCircuitBreaker({timers, logger, random: () => random});
 	const replicas = Object.fromEntries(Object.values(Collection).map(collection => [collection, new Replica()])) as Record<Collection, Replica>;
 	const followers = new StoreFollowers({
-		store, replicas, breaker, timers, logger, random: () => random, readerRank: () => 0, inForceMs: () => inForceMs, onChecked: () => undefined,
+		store: new EraCheckedStore(store, new StoreEra()), replicas, breaker, timers, logger, random: () => random, readerRank: () => 0, inForceMs: () => inForceMs, onChecked: () => undefined,
 	});
 	followers.run();
 	return {
--- a/packages/gateway/src/state/store-checker.ts
+++ b/packages/gateway/src/state/store-checker.ts
@@ -1,7 +1,9 @@
 import {
 	ResultCode, toFescuewickError, type Logger, type TimerService,
 } from '@fescuewick/core';
-import {Collection, Freshness, type CollectionStore} from '@fescuewick/store';
+import {
+	Collection, comparePositions, Freshness, type CollectionStore, type StorePosition,
+} from '@fescuewick/store';
 import {readersPerRegion} from '../peers/store-readers.js';
 import {followedCollections, type FollowedCollection} from './followed-collections.js';
 import {type Replica} from './replica.js';
@@ -139,15 +141,15 @@
 		try {
 			const missed = [await this.#readChanges(firstCollection, startedAtMs)];
 			this.#onAnswer();
-			const revision = replicas[firstCollection].revisions.valid;
-			const others = this.#toRead(revision, startedAtMs);
+			const {position} = replicas[firstCollection];
+			const others = this.#toRead(position, startedAtMs);
 			missed.push(...await Promise.all(others.map(async collection => this.#readChanges(collection, startedAtMs))));
 			if (this.#isStopped) {
 				return;
 			}
 
 			this.#idleThreshold = this.#drawIdleThreshold();
-			this.#report({ageMs, revision, hasMissedChanges: missed.includes(true)});
+			this.#report({ageMs, revision: position.revision, hasMissedChanges: missed.includes(true)});
 		} catch (error) {
 			const {message} = toFescuewickError(error);
 			this.#notBeforeMs = timers.nowMs() + minRetryMs + (random() * retrySpreadMs);
@@ -176,17 +178,17 @@
 		}
 	}
 
-	/** Confirms the replicas that have all changes up to a revision of the store; returns the collections to read because the store may have changes that their replicas lack. */
-	#toRead(revision: number, startedAtMs: number): FollowedCollection[] {
+	/** Confirms the replicas that have all changes up to a position of the store; returns the collections to read because the store may have changes that their replicas lack. */
+	#toRead(position: StorePosition, startedAtMs: number): FollowedCollection[] {
 		const {replicas} = this.options;
 		const recentAtMs = startedAtMs - (this.#maxAgeMs * recentFraction);
 		for (const collection of followedCollections) {
-			if (replicas[collection].revisions.valid >= revision) {
+			if (comparePositions(replicas[collection].position, position) >= 0) {
 				replicas[collection].confirmRead(startedAtMs);
 			}
 		}
 
-		return followedCollections.filter(collection => replicas[collection].confirmedAtMs < recentAtMs);
+		return followedCollections.filter(collection => !replicas[collection].isCurrent || replicas[collection].confirmedAtMs < recentAtMs);
 	}
 
 	/** Reads the changes that a replica lacks; returns whether there were any. */
@@ -194,10 +196,9 @@
 		const {replicas, onMissed} = this.options;
 		const replica = replicas[collection];
 		const apply = await this.#call(collection);
-		const {changed} = replica.revisions;
-		apply();
-		replica.confirmRead(startedAtMs);
-		if (replica.revisions.changed === changed) {
+		const {revisions: {changed}, position: {era}} = replica;
+		replica.confirmRead(startedAtMs, apply());
+		if (replica.revisions.changed === changed && replica.position.era === era) {
 			return false;
 		}
 
@@ -205,14 +206,15 @@
 		return true;
 	}
 
-	/** Reads the changes of a collection, or all of it if the store has dropped its history; returns a function that applies the answer. */
-	async #call(collection: FollowedCollection): Promise<() => void> {
+	/** Reads the changes of a collection, or all of it if the store has dropped its history; returns a function that applies the answer and returns its era. */
+	async #call(collection: FollowedCollection): Promise<() => number> {
 		const {store, replicas} = this.options;
 		const replica = replicas[collection];
 		try {
-			const batch = await store.watch(collection, replica.revisions.valid, 0, new AbortController().signal);
+			const batch = await store.watch(collection, replica.position, 0, new AbortController().signal);
 			return () => {
 				replica.applyChanges(batch);
+				return batch.era ?? 0;
 			};
 		} catch (error) {
 			if (toFescuewickError(error).code !== ResultCode.storeHistoryGone) {
@@ -222,6 +224,7 @@
 			const listing = await store.list(collection, Freshness.latest);
 			return () => {
 				replica.applyListing(listing);
+				return listing.era ?? 0;
 			};
 		}
 	}
--- a/packages/gateway/src/state/store-follower.ts
+++ b/packages/gateway/src/state/store-follower.ts
@@ -42,7 +42,7 @@
 /** An answer of the store, and the earliest time as of which it may show the collection, in milliseconds. */
 type CollectionUpdate = {readonly listing?: Listing; readonly batch?: ChangeBatch; readonly asOfMs: number};
 
-/** Keeps a replica up to date from the store: lists once, then watches while this VM is a reader of its region; lists again after the store has dropped its history. */
+/** Keeps a replica up to date from the store: lists once, then watches while this VM is a reader of its region; lists again after the store has dropped its history or was restored from a copy. */
 export class StoreFollower {
 	readonly #caller = Symbol('follower');
 	#watchGapMs = minWatchGapMs;
@@ -68,7 +68,7 @@
 				replica.applyChanges(update.batch);
 			}
 
-			replica.confirmRead(update.asOfMs);
+			replica.confirmRead(update.asOfMs, (update.batch ?? update.listing)?.era ?? 0);
 			logger.debug({event: 'collection-updated', collection, ...replica.revisions}, 'collection updated');
 		}
 	}
@@ -164,18 +164,17 @@
 
 	async #call(): Promise<CollectionUpdate | undefined> {
 		const {store, collection, replica, watchWaitMs, breaker, timers} = this.options;
-		if (this.#needsListing && !(replica.isLoaded && breaker.isFailing)) {
+		if ((this.#needsListing || !replica.isCurrent) && !(replica.isLoaded && breaker.isFailing)) {
 			return this.#list();
 		}
 
 		const controller = new AbortController();
 		this.#watch = controller;
-		const {valid} = replica.revisions;
 		const startedAtMs = timers.nowMs();
 		try {
 			// The trial call after a failure must not wait for changes, because the other loops wait for its outcome.
 			const waitMs = breaker.isFailing ? 0 : watchWaitMs();
-			const batch = await store.watch(collection, valid, waitMs, controller.signal);
+			const batch = await store.watch(collection, replica.position, waitMs, controller.signal);
 			// Without a change, the store answers at the end of the wait; with one, the answer may have been on its way since any time in it.
 			const hasWaited = batch.changes.length === 0 && timers.nowMs() - startedAtMs >= waitMs;
 			return {batch, asOfMs: hasWaited ? startedAtMs + waitMs : startedAtMs};
@@ -192,9 +191,9 @@
 
 	/** Reads a listing that may be stale, which is cheaper, and the changes since; reads the latest listing if the history does not reach back so far. */
 	async #list(): Promise<CollectionUpdate> {
-		const {store, collection, timers} = this.options;
+		const {store, collection, replica, timers} = this.options;
 		const startedAtMs = timers.nowMs();
-		if (this.#needsLatest) {
+		if (this.#needsLatest || (replica.isLoaded && !replica.isCurrent)) {
 			const listing = await store.list(collection, Freshness.latest);
 			this.#needsListing = false;
 			this.#needsLatest = false;
@@ -202,7 +201,7 @@
 		}
 
 		const listing = await store.list(collection, Freshness.recent);
-		const batch = await store.watch(collection, listing.revision, 0, new AbortController().signal);
+		const batch = await store.watch(collection, listing, 0, new AbortController().signal);
 		this.#needsListing = false;
 		return {listing, batch, asOfMs: startedAtMs};
 	}
--- a/packages/gateway/src/state/store-followers.ts
+++ b/packages/gateway/src/state/store-followers.ts
@@ -1,4 +1,5 @@
 import {type Collection} from '@fescuewick/store';
+import {type EraCheckedStore} from './era-checked-store.js';
 import {followedCollections, type FollowedCollection} from './followed-collections.js';
 import {type Replica} from './replica.js';
 import {StoreChecker, type StoreCheckerOptions} from './store-checker.js';
@@ -6,7 +7,8 @@
 import {watchWaitMs} from './watch-wait.js';
 
 /** Dependencies of the followers; `random` returns numbers in [0, 1). */
-export type StoreFollowersOptions = Pick<StoreFollowerOptions, 'store' | 'breaker' | 'timers' | 'logger'> & Pick<StoreCheckerOptions, 'readerRank' | 'inForceMs' | 'onChecked'> & {
+export type StoreFollowersOptions = Pick<StoreFollowerOptions, 'breaker' | 'timers' | 'logger'> & Pick<StoreCheckerOptions, 'readerRank' | 'inForceMs' | 'onChecked'> & {
+	readonly store: EraCheckedStore;
 	readonly replicas: Readonly<Record<Collection, Replica>>;
 	readonly random: () => number;
 };
@@ -15,6 +17,7 @@
 export class StoreFollowers implements Iterable<StoreFollower> {
 	readonly #followers: ReadonlyMap<Collection, StoreFollower>;
 	readonly #checker: StoreChecker;
+	readonly #unsubscribe: () => void;
 
 	constructor({replicas, random, readerRank, inForceMs, onChecked, ...options}: StoreFollowersOptions) {
 		this.#followers = new Map(followedCollections.map(collection => [collection, new StoreFollower({
@@ -37,11 +40,12 @@
 				this.restartWatch(collection);
 			},
 			onRegained: () => {
-				for (const follower of this) {
-					follower.restartWatch();
-				}
+				this.#restartAll();
 			},
 		});
+		this.#unsubscribe = options.store.era.events.on('raised', () => {
+			this.#restartAll();
+		});
 	}
 
 	/** Starts all followers and the checker. */
@@ -58,6 +62,7 @@
 	}
 
 	stop(): void {
+		this.#unsubscribe();
 		this.#checker.stop();
 		for (const follower of this) {
 			follower.stop();
@@ -68,6 +73,12 @@
 		return this.#followers.values();
 	}
 
+	#restartAll(): void {
+		for (const follower of this) {
+			follower.restartWatch();
+		}
+	}
+
 	/** Restarts the watches of the other collections, whose connections may have gone silent as well. */
 	#restartOthers(cutCollection: FollowedCollection): void {
 		for (const [collection, follower] of this.#followers) {
--- a/packages/gateway/src/testing/memory-collection-store.ts
+++ b/packages/gateway/src/testing/memory-collection-store.ts
@@ -1,19 +1,25 @@
 import {FescuewickError, ResultCode} from '@fescuewick/core';
 import {
-	Collection, CollectionStore, Freshness, type ChangeBatch, type CollectionRecord, type Listing, type RecordChange,
+	Collection, CollectionStore, Freshness, type ChangeBatch, type CollectionRecord, type Listing, type RecordChange, type StorePosition,
 } from '@fescuewick/store';
 
 type LoggedChange = RecordChange & {readonly collection: Collection; readonly revision: number};
 
-/** An in-memory store that can drop its history and refuse calls. */
+/** What a store contained at one time. */
+export type StoreCopy = {readonly revision: number; readonly records: ReadonlyMap<Collection, ReadonlyMap<string, CollectionRecord>>};
+
+/** An in-memory store that can drop its history, refuse calls and be restored from a copy. */
 export class MemoryCollectionStore extends CollectionStore {
 	/** Whether all calls are refused. */
 	isDown = false;
 	/** Returned by `list` of this collection unless the latest listing is requested. */
 	staleListing: {readonly collection: Collection; readonly listing: Listing} | undefined;
 	readonly calls: string[] = [];
+	/** Undefined until the store is restored or an era is set; then its answers carry none. */
+	era: number | undefined;
 	#revision = 1;
 	#oldestRevision = 1;
+	#restores = 0;
 	readonly #records = new Map<Collection, Map<string, CollectionRecord>>(Object.values(Collection).map(collection => [collection, new Map<string, CollectionRecord>()]));
 	#history: LoggedChange[] = [];
 	readonly #waiting = new Set<() => void>();
@@ -28,20 +34,21 @@
 			return this.staleListing.listing;
 		}
 
-		return {records: [...this.#records.get(collection)!.values()], revision: this.#revision};
+		return {records: [...this.#records.get(collection)!.values()], ...this.#position};
 	}
 
-	async watch(collection: Collection, afterRevision: number, waitMs: number, signal: AbortSignal): Promise<ChangeBatch> {
+	async watch(collection: Collection, {revision: afterRevision}: StorePosition, waitMs: number, signal: AbortSignal): Promise<ChangeBatch> {
 		this.#call('watch', collection);
-		if (afterRevision < this.#oldestRevision) {
+		if (afterRevision < this.#oldestRevision || afterRevision > this.#revision) {
 			throw new FescuewickError(ResultCode.storeHistoryGone, 'the store has dropped its history');
 		}
 
 		const read = () => this.#history.filter(change => change.collection === collection && change.revision > afterRevision);
 		if (read().length === 0 && waitMs > 0) {
+			const restores = this.#restores;
 			await new Promise<void>((resolve, reject) => {
 				const wake = () => {
-					if (this.isDown) {
+					if (this.isDown || restores !== this.#restores) {
 						this.#waiting.delete(wake);
 						reject(new FescuewickError(ResultCode.storeTimeout, 'watch interrupted by an outage'));
 					} else if (read().length > 0) {
@@ -58,7 +65,7 @@
 			});
 		}
 
-		return {changes: read(), revision: this.#revision};
+		return {changes: read(), ...this.#position};
 	}
 
 	async put(collection: Collection, name: string, value: unknown): Promise<void> {
@@ -103,12 +110,35 @@
 		this.#history = [];
 	}
 
+	/** Copies the present content. */
+	copy(): StoreCopy {
+		return {revision: this.#revision, records: new Map([...this.#records].map(([collection, records]) => [collection, new Map(records)]))};
+	}
+
+	/** Goes back to a copy and begins a new era, which interrupts waiting watches; what was written since the copy is lost, and its revisions are assigned again. */
+	restore({revision, records}: StoreCopy): void {
+		this.era = (this.era ?? 0) + 1;
+		this.#restores++;
+		this.#revision = revision;
+		this.#oldestRevision = Math.min(this.#oldestRevision, revision);
+		this.#history = this.#history.filter(change => change.revision <= revision);
+		for (const [collection, copied] of records) {
+			this.#records.set(collection, new Map(copied));
+		}
+
+		this.#wake();
+	}
+
 	/** Starts or ends an outage, which also interrupts waiting watches. */
 	setDown(isDown: boolean): void {
 		this.isDown = isDown;
 		this.#wake();
 	}
 
+	get #position(): StorePosition {
+		return this.era === undefined ? {revision: this.#revision} : {revision: this.#revision, era: this.era};
+	}
+
 	#log(change: LoggedChange): void {
 		this.#history.push(change);
 		this.#wake();
--- a/packages/gateway/src/testing/restricted-store.ts
+++ b/packages/gateway/src/testing/restricted-store.ts
@@ -1,6 +1,6 @@
 import {FescuewickError, ResultCode, type TimerService} from '@fescuewick/core';
 import {
-	CollectionStore, maxAnswerMs, type ChangeBatch, type Collection, type Freshness, type Listing,
+	CollectionStore, maxAnswerMs, type ChangeBatch, type Collection, type Freshness, type Listing, type StorePosition,
 } from '@fescuewick/store';
 
 /** How a store treats the calls of a VM. */
@@ -24,13 +24,13 @@
 		return this.#call(async () => this.store.list(collection, freshness));
 	}
 
-	async watch(collection: Collection, afterRevision: number, waitMs: number, signal: AbortSignal): Promise<ChangeBatch> {
+	async watch(collection: Collection, after: StorePosition, waitMs: number, signal: AbortSignal): Promise<ChangeBatch> {
 		const end = new AbortController();
 		const cancel = this.timers.after(waitMs, () => {
 			end.abort();
 		});
 		try {
-			return await this.#call(async () => this.#watch({collection, afterRevision, waitMs}, AbortSignal.any([signal, end.signal]), end.signal), waitMs, signal);
+			return await this.#call(async () => this.#watch({collection, after, waitMs}, AbortSignal.any([signal, end.signal]), end.signal), waitMs, signal);
 		} finally {
 			cancel();
 		}
@@ -44,12 +44,12 @@
 		return this.#call(async () => this.store.remove(collection, name, revision));
 	}
 
-	async #watch({collection, afterRevision, waitMs}: {readonly collection: Collection; readonly afterRevision: number; readonly waitMs: number}, signal: AbortSignal, end: AbortSignal): Promise<ChangeBatch> {
+	async #watch({collection, after, waitMs}: {readonly collection: Collection; readonly after: StorePosition; readonly waitMs: number}, signal: AbortSignal, end: AbortSignal): Promise<ChangeBatch> {
 		try {
-			return await this.store.watch(collection, afterRevision, waitMs, signal);
+			return await this.store.watch(collection, after, waitMs, signal);
 		} catch (error) {
 			if (end.aborted) {
-				return {changes: [], revision: afterRevision};
+				return {changes: [], ...after};
 			}
 
 			throw error;
