Test the eras of the store, and let VMs hold a configuration that the store has lost

A VM that starts after a restore, or that had missed the last version, takes the configuration in force from peers that hold it, so that a key withdrawn since the copy does not work again there. Heartbeats name a held version only while there is one.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -120,7 +120,7 @@
 		this.#peers = new PeerTable({self: this.#self, timers, logger});
 		this.#demand = new FleetDemand({peers: this.#peers, meter: this.#slotDemandMeter, latency: this.#latency});
 		this.#replicaSync = new ReplicaSync({
-			replicas: this.#state.replicas, storeEra: this.#state.storeEra, client: this.#peerClient, timers, logger, region: location.region, isReading: () => this.#readerRole.isReading, onAdopted: collection => {
+			state: this.#state, client: this.#peerClient, timers, logger, region: location.region, isReading: () => this.#readerRole.isReading, onAdopted: collection => {
 				this.#followers.restartWatch(collection);
 			},
 		});
@@ -325,9 +325,7 @@
 			incarnation: this.#incarnation,
 			isReady: this.isReady,
 			storeAccess: this.#readerRole.access,
-			storeEra: this.#state.storeEra.value,
-			revisions: Object.fromEntries(followedCollections.map(collection => [collection, this.#state.replicas[collection].advertisedRevisions])),
-			storeReadings: this.#state.readings(),
+			...this.#state.advertised(),
 			buckets: this.#limiter.reports(isFull, scope === HeartbeatScope.fleet),
 			slotDemand: this.#demand.own(),
 			shiftedFractions: this.#placer.shiftedFractions(),
@@ -380,7 +378,7 @@
 			isReady: () => this.isReady,
 			addressesFor: caller => this.#addressesFor(caller),
 			directoryTtlMs: Math.min(directoryTtlMs, bounds.maxDirectoryTtlMs),
-			replicas: this.#state.replicas,
+			state: this.#state,
 			members: () => [this.#self, ...this.#peers.records()],
 			metrics: this.#metrics,
 		};
--- a/packages/gateway/src/peers/heartbeat.test.ts
+++ b/packages/gateway/src/peers/heartbeat.test.ts
@@ -26,6 +26,13 @@
 	t.deepEqual(decodeHeartbeat(encodeHeartbeat(heartbeat)), heartbeat);
 });
 
+test('a configuration that the store has lost is named in heartbeats, and costs no byte otherwise', t => {
+	const held = {...heartbeat, heldVersion: 12};
+	t.deepEqual(decodeHeartbeat(encodeHeartbeat(held)), held);
+	t.is(encodeHeartbeat({...heartbeat, storeEra: 23}).length, encodeHeartbeat({...heartbeat, storeEra: 0}).length);
+	t.is(encodeHeartbeat(held).length, encodeHeartbeat(heartbeat).length + 2);
+});
+
 test('a datagram of another format is not decoded as a heartbeat', t => {
 	// Guards against a foreign datagram that ends the process with an exception.
 	for (const datagram of [Buffer.alloc(0), Buffer.from('hello'), encode([3, 2]), encode([3, 1, 1, true, 0, [], [], [], [], [], []]), encode([4, 1, 1, true, 0, [], [], [], [], [], [], []]), encode([5, 'x', 1, true, 0, [], [], [], [], [], [], [], 1])]) {
--- a/packages/gateway/src/peers/heartbeat.ts
+++ b/packages/gateway/src/peers/heartbeat.ts
@@ -5,11 +5,12 @@
 import {type ShiftedFractions} from '../placement/region-plan.js';
 import {type SlotDemand, type SlotsByService} from '../placement/slot-demand-meter.js';
 import {followedCollections} from '../state/followed-collections.js';
+import {type AdvertisedState} from '../state/fleet-state.js';
 import {type ReplicaRevisions, type StoreReading} from '../state/replica.js';
 import {type StoreAccess} from './store-readers.js';
 
 /** State that a VM sends to its peers at short intervals. */
-export type Heartbeat = {
+export type Heartbeat = AdvertisedState & {
 	readonly record: VmRecord;
 	/** Random number chosen at the start of the process; distinguishes a restarted VM from its predecessor. */
 	readonly incarnation: number;
@@ -18,12 +19,6 @@
 	/** Whether the directory may name the VM to callers. */
 	readonly isReady: boolean;
 	readonly storeAccess: StoreAccess;
-	/** Highest era of the store that the VM knows of, which is that of the revisions and readings; 0 if it knows none. */
-	readonly storeEra: number;
-	/** Revisions of the replicas by collection. */
-	readonly revisions: Readonly<Record<string, ReplicaRevisions>>;
-	/** What the store last showed to the VM, by collection; a collection is missing while the store has shown nothing. */
-	readonly storeReadings: Readonly<Record<string, StoreReading>>;
 	/** Token bucket reports of the workspaces with a rate limit. */
 	readonly buckets: BucketReports;
 	/** Demand of the VM's callers, in slots. */
@@ -46,7 +41,7 @@
 type FlatEntries = ReadonlyArray<string | number | null>;
 
 /** Encodes a heartbeat as one datagram; fields are encoded by position, because their names would take most of the bytes. */
-export function encodeHeartbeat({record, incarnation, sequence, isReady, storeAccess, storeEra, revisions, storeReadings, buckets, slotDemand, shiftedFractions}: Heartbeat): Buffer {
+export function encodeHeartbeat({record, incarnation, sequence, isReady, storeAccess, storeEra, heldVersion, revisions, storeReadings, buckets, slotDemand, shiftedFractions}: Heartbeat): Buffer {
 	const flatRevisions = followedCollections.flatMap(collection => [revisions[collection].valid, revisions[collection].changed]);
 	return encode([
 		formatVersion,
@@ -61,7 +56,8 @@
 		Object.entries(slotDemand.bound).flatMap(([region, bound]) => chunksOf(flattenSlots(bound), 2).flatMap(([service, slots]) => [region, service, slots])),
 		Object.entries(shiftedFractions).flatMap(([service, fractions]) => Object.entries(fractions).flatMap(([region, fraction]) => [service, region, Math.round(fraction * fractionScale)])),
 		followedCollections.flatMap(collection => encodeReading(storeReadings[collection], revisions[collection])),
-		storeEra,
+		// Few heartbeats have a held version, so it takes no byte in the others.
+		heldVersion === undefined ? storeEra : [storeEra, heldVersion],
 	]);
 }
 
@@ -78,8 +74,9 @@
 		return undefined;
 	}
 
-	const [, incarnation, sequence, isReady, storeAccess, flatRevisions, recordFields, buckets, freeDemand, bound, shifted, flatReadings, storeEra] = fields as [number, number, number, boolean, StoreAccess, number[], string[], FlatEntries, FlatEntries, FlatEntries, FlatEntries, FlatEntries, number];
-	if (typeof incarnation !== 'number' || !Number.isSafeInteger(storeEra) || storeEra < 0 || recordFields?.length !== 6 || ![flatRevisions, recordFields, buckets, freeDemand, bound, shifted, flatReadings].every(field => Array.isArray(field))) {
+	const [, incarnation, sequence, isReady, storeAccess, flatRevisions, recordFields, buckets, freeDemand, bound, shifted, flatReadings, storePart] = fields as [number, number, number, boolean, StoreAccess, number[], string[], FlatEntries, FlatEntries, FlatEntries, FlatEntries, FlatEntries, unknown];
+	const [storeEra, ...heldVersions] = Array.isArray(storePart) ? storePart as unknown[] : [storePart];
+	if (typeof incarnation !== 'number' || !isCount(storeEra) || !heldVersions.every(version => isCount(version)) || recordFields?.length !== 6 || ![flatRevisions, recordFields, buckets, freeDemand, bound, shifted, flatReadings].every(field => Array.isArray(field))) {
 		return undefined;
 	}
 
@@ -98,6 +95,7 @@
 		isReady,
 		storeAccess,
 		storeEra,
+		...(heldVersions.length > 0 && {heldVersion: heldVersions[0]}),
 		revisions,
 		storeReadings: readReadings(flatReadings, revisions),
 		buckets: Object.fromEntries(chunksOf(buckets, 4).map(([workspace, passed, askedPerS, tokens]) => [String(workspace), {passed: Number(passed), askedPerS: Number(askedPerS) / rateScale, tokens: tokens === null ? undefined : Number(tokens)}])),
@@ -106,6 +104,10 @@
 	};
 }
 
+function isCount(value: unknown): value is number {
+	return Number.isSafeInteger(value) && Number(value) >= 0;
+}
+
 /** Age and revision of a reading; the revision relative to that of the last change, from which it rarely differs. */
 function encodeReading(reading: StoreReading | undefined, {changed}: ReplicaRevisions): FlatEntries {
 	return reading === undefined || reading.ageMs > maxReadingAgeMs ? [null, 0] : [Math.ceil(reading.ageMs / ageUnitMs), reading.changedBy - changed];
--- a/packages/gateway/src/peers/peer-client.ts
+++ b/packages/gateway/src/peers/peer-client.ts
@@ -3,6 +3,7 @@
 import {FescuewickError, ResultCode} from '@fescuewick/core';
 import {readBounded} from '@fescuewick/entry/http';
 import {type Collection, type StorePosition} from '@fescuewick/store';
+import {type Configuration} from '../model/configuration.js';
 import {type VmRecord} from '../model/records.js';
 import {type ReplicaDelta, type ReplicaSnapshot} from '../state/replica.js';
 
@@ -30,6 +31,16 @@
 		return answer;
 	}
 
+	/** Reads the configuration that a peer holds although the store has lost it; fails if the peer holds none. */
+	async readHeldConfiguration(peerAddress: string): Promise<Configuration> {
+		const configuration = await this.#get(peerAddress, '/v1/held-configuration') as Partial<Configuration> | undefined;
+		if (typeof configuration?.version !== 'number' || !Array.isArray(configuration.routes) || !Array.isArray(configuration.workspaces) || !Array.isArray(configuration.services)) {
+			throw new FescuewickError(ResultCode.frameMalformed, `${peerAddress} sent a malformed configuration`);
+		}
+
+		return configuration as Configuration;
+	}
+
 	/** Reads the VMs that a peer knows, including itself. */
 	async readMembers(peerAddress: string): Promise<VmRecord[]> {
 		const members = await this.#get(peerAddress, '/v1/members');
--- a/packages/gateway/src/peers/registration.ts
+++ b/packages/gateway/src/peers/registration.ts
@@ -27,7 +27,7 @@
 	readonly breaker: StoreCircuitBreaker;
 	readonly vms: Replica;
 	readonly table: PeerTable;
-	readonly client: PeerClient;
+	readonly client: Pick<PeerClient, 'readMembers'>;
 	readonly seeds: readonly string[];
 	readonly timers: TimerService;
 	readonly logger: Logger;
--- a/packages/gateway/src/peers/replica-sync.ts
+++ b/packages/gateway/src/peers/replica-sync.ts
@@ -1,8 +1,8 @@
 import {toFescuewickError, type Logger, type TimerService} from '@fescuewick/core';
 import {type Collection} from '@fescuewick/store';
 import {followedCollections} from '../state/followed-collections.js';
-import {type Replica, type ReplicaRevisions} from '../state/replica.js';
-import {type StoreEra} from '../state/store-era.js';
+import {type FleetState} from '../state/fleet-state.js';
+import {type ReplicaRevisions} from '../state/replica.js';
 import {type Heartbeat} from './heartbeat.js';
 import {type PeerClient} from './peer-client.js';
 import {StoreAccess} from './store-readers.js';
@@ -16,9 +16,8 @@
 const freshReadingMs = 300;
 
 type ReplicaSyncOptions = {
-	readonly replicas: Readonly<Record<Collection, Replica>>;
-	readonly storeEra: StoreEra;
-	readonly client: Pick<PeerClient, 'readCollection'>;
+	readonly state: Pick<FleetState, 'replicas' | 'storeEra' | 'configuration' | 'adoptHeldConfiguration'>;
+	readonly client: Pick<PeerClient, 'readCollection' | 'readHeldConfiguration'>;
 	readonly timers: TimerService;
 	readonly logger: Logger;
 	/** Region of this VM. */
@@ -32,14 +31,16 @@
 /** Updates the replicas from peers that have changes which this VM has not received from the store. */
 export class ReplicaSync {
 	readonly #running = new Set<Collection>();
+	#isFetchingConfiguration = false;
 
 	constructor(private readonly options: ReplicaSyncOptions) {}
 
 	/** Compares a peer's revisions with those of the replicas and fetches missing changes; a replica that lacks none is complete up to the peer's revision. A peer in an earlier era of the store confirms nothing and has nothing that is missing here. */
-	onHeartbeat({record, storeAccess, storeEra: era, revisions, storeReadings}: Heartbeat): void {
-		this.options.storeEra.observePeer({era, revision: Math.max(...followedCollections.map(collection => revisions[collection].valid))}, record.peerAddress);
+	onHeartbeat({record, storeAccess, storeEra: era, heldVersion = -1, revisions, storeReadings}: Heartbeat): void {
+		const {state} = this.options;
+		state.storeEra.observePeer({era, revision: Math.max(...followedCollections.map(collection => revisions[collection].valid))}, record.peerAddress);
 		for (const collection of followedCollections) {
-			const replica = this.options.replicas[collection];
+			const replica = state.replicas[collection];
 			const peer = {...revisions[collection], era};
 			replica.confirm(peer);
 			if (storeReadings[collection] !== undefined) {
@@ -52,10 +53,27 @@
 				void this.#fetch(collection, record.peerAddress, peer, hasRead && record.region === this.options.region);
 			}
 		}
+
+		if (!this.#isFetchingConfiguration && heldVersion > (state.configuration?.configuration.version ?? -1)) {
+			void this.#fetchHeldConfiguration(record.peerAddress);
+		}
+	}
+
+	/** Takes over the configuration that a peer holds since the store was restored from a copy with an earlier one. */
+	async #fetchHeldConfiguration(peerAddress: string): Promise<void> {
+		const {state, client, logger} = this.options;
+		this.#isFetchingConfiguration = true;
+		try {
+			state.adoptHeldConfiguration(await client.readHeldConfiguration(peerAddress));
+		} catch (error) {
+			logger.warn({event: 'held-configuration-failed', from: peerAddress, reason: toFescuewickError(error).message}, 'could not read from a peer the configuration that it holds');
+		} finally {
+			this.#isFetchingConfiguration = false;
+		}
 	}
 
 	async #fetch(collection: Collection, peerAddress: string, peer: ReplicaRevisions, isReaderOfOwnRegion: boolean): Promise<void> {
-		const {replicas, storeEra, client, timers, logger, isReading, onAdopted} = this.options;
+		const {state: {replicas, storeEra}, client, timers, logger, isReading, onAdopted} = this.options;
 		const replica = replicas[collection];
 		try {
 			if (replica.isLoaded && (isReading() || !isReaderOfOwnRegion)) {
--- a/packages/gateway/src/restored-store.test.ts
+++ b/packages/gateway/src/restored-store.test.ts
@@ -175,6 +175,28 @@
 	t.is(await statusOf(gateway.call('/check/1')), 401);
 });
 
+test('a VM that starts after the restore takes the configuration in force from its peers', async t => {
+	// Guards against a withdrawn key that works again at VMs that know only the copy.
+	const store = storeWith(local(1));
+	store.era = 1;
+	await addBackend(t, store, {id: 's1'});
+	const first = await start(t, {store, vm: 'a1'});
+	const copy = store.copy();
+	store.set(Collection.configurations, 'main', local(2, {workspaces: [workspace('acme', {keys: ['key-new']})]}));
+	await waitUntil(() => hasApplied(first, 2));
+	store.restore(copy);
+	await waitUntil(() => first.lines.some(({event}) => event === 'store-era'));
+	const second = await start(t, {store, vm: 'a2', seeds: [first.settings.listen.peers]});
+	t.true(await isTrueWithin(inForceMs, () => hasApplied(second, 2)));
+	const third = await start(t, {store, vm: 'a3', seeds: [second.settings.listen.peers]});
+	await first.gateway.stop();
+	t.true(await isTrueWithin(inForceMs, () => hasApplied(third, 2)));
+	t.deepEqual([...await callFor(500, third)], [401]);
+	store.set(Collection.configurations, 'main', local(3));
+	t.true(await isTrueWithin(inForceMs, () => hasApplied(second, 3) && hasApplied(third, 3)));
+	t.deepEqual([...await callFor(200, third)], [200]);
+});
+
 test('a running VM whose registration the copy lacks registers again', async t => {
 	// Guards against a VM that starting VMs do not find in the store.
 	const store = storeWith(local(1));
@@ -184,7 +206,12 @@
 	await waitUntil(() => store.recordValue(Collection.vms, 'a1') !== undefined);
 	store.restore(copy);
 	t.true(await isTrueWithin(4000, () => store.recordValue(Collection.vms, 'a1') !== undefined));
-	t.is(gateway.lines.filter(({event}) => event === 'store-era').length, 1);
+	t.like(gateway.lines.filter(({event}) => event === 'store-era'), [{fromEra: 1, era: 2, source: 'store'}]);
+	const response = await fetch(`http://${gateway.settings.listen.metrics}/metrics`);
+	const metrics = await response.text();
+	t.regex(metrics, /^fescuewick_store_era{[^}]*} 2$/m);
+	t.regex(metrics, /^fescuewick_store_answers_without_era_total{[^}]*} 0$/m);
+	t.regex(metrics, /^fescuewick_configuration_unknown_values{[^}]*} 0$/m);
 });
 
 test('a VM that is cut off from the store takes the restored state from its peers', async t => {
--- a/packages/gateway/src/server/auxiliary-servers.ts
+++ b/packages/gateway/src/server/auxiliary-servers.ts
@@ -7,7 +7,7 @@
 import {type Metrics} from '@fescuewick/core';
 import {Collection} from '@fescuewick/store';
 import {type VmRecord} from '../model/records.js';
-import {type Replica} from '../state/replica.js';
+import {type FleetState} from '../state/fleet-state.js';
 
 /** Idle connections to the auxiliary servers are closed after this time, in milliseconds. */
 const keepAliveMs = 5000;
@@ -28,7 +28,7 @@
 	readonly isReady: () => boolean;
 	readonly addressesFor: (caller: {readonly failureDomain: string; readonly region: string}) => string[];
 	readonly directoryTtlMs: number;
-	readonly replicas: Readonly<Record<Collection, Replica>>;
+	readonly state: Pick<FleetState, 'replicas' | 'heldConfiguration'>;
 	readonly members: () => VmRecord[];
 	readonly metrics: Metrics;
 };
@@ -78,8 +78,9 @@
 	}]]);
 }
 
-/** Creates the server from which peers read the replicas of this VM and the VMs it knows. */
-export function createPeerServer({replicas, members}: AuxiliaryServerOptions): Server {
+/** Creates the server from which peers read the replicas of this VM, a configuration that the store has lost, and the VMs it knows. */
+export function createPeerServer({state, members}: AuxiliaryServerOptions): Server {
+	const {replicas} = state;
 	const collections = Object.values(Collection).map((collection): [string, Handler] => [`/v1/collections/${collection}`, (request, response) => {
 		if (replicas[collection].isLoaded) {
 			const {searchParams} = new URL(request.url ?? '', 'http://peer');
@@ -89,7 +90,15 @@
 			response.writeHead(503).end();
 		}
 	}]);
-	return createAuxiliaryServer([...collections, ['/v1/members', (_request, response) => {
+	const heldConfiguration: [string, Handler] = ['/v1/held-configuration', (_request, response) => {
+		const {heldConfiguration: held} = state;
+		if (held === undefined) {
+			response.writeHead(404).end();
+		} else {
+			sendCbor(response, held);
+		}
+	}];
+	return createAuxiliaryServer([...collections, heldConfiguration, ['/v1/members', (_request, response) => {
 		sendCbor(response, members());
 	}]]);
 }
--- a/packages/gateway/src/state/fleet-state.test.ts
+++ b/packages/gateway/src/state/fleet-state.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {createSilentLogger, ManualTimerService, settle} from '@fescuewick/core';
 import {Collection} from '@fescuewick/store';
-import {BackendState} from '../model/records.js';
+import {BackendState, type BackendRecord} from '../model/records.js';
 import {backendRecord, configuration} from '../testing/fixtures.js';
 import {FleetState} from './fleet-state.js';
 
@@ -141,3 +141,107 @@
 	await timers.advance(100);
 	t.false(state.backends.has('a'));
 });
+
+/** Replaces a replica by a copy of the store, as after a restore. */
+async function restore(state: FleetState, collection: Collection, era: number, ...values: ReadonlyArray<{readonly name: string; readonly value: unknown}>) {
+	state.replicas[collection].applyListing({records: values.map(({name, value}) => ({name, revision: 1, value})), revision: 1, era});
+	await settle();
+}
+
+async function applyBackends(state: FleetState, revision: number, era: number, changes: ReadonlyArray<{readonly name: string; readonly value: unknown}>, isRemoved: boolean) {
+	state.replicas[Collection.backends].applyChanges({changes: changes.map(({name, value}) => ({record: {name, revision, value}, isRemoved})), revision, era});
+	await settle();
+}
+
+const entry = (id: string, changes: Partial<BackendRecord> = {}) => ({name: id, value: backendRecord(id, changes)});
+
+test('an entry in a copy is passed over if this VM knows that the server has left, drained or restarted since', async t => {
+	// Guards against requests to servers that are gone because the copy still lists them as ready.
+	const {state, timers} = createState();
+	await restore(state, Collection.backends, 1, entry('left'), entry('draining'), entry('restarted', {address: '127.0.0.1:1'}), entry('counted', {sequence: 5}), entry('same'));
+	await applyBackends(state, 2, 1, [entry('draining', {state: BackendState.draining}), entry('restarted', {startedAtMs: 2, address: '127.0.0.1:2'})], false);
+	await applyBackends(state, 3, 1, [entry('left')], true);
+	await timers.advance(2000);
+	await applyBackends(state, 4, 1, [entry('counted', {sequence: 5})], true);
+	await restore(state, Collection.backends, 2, entry('left'), entry('draining'), entry('restarted', {address: '127.0.0.1:1'}), entry('counted', {sequence: 5}), entry('same'));
+	t.false(state.backends.has('left'));
+	t.false(state.backends.has('counted'));
+	t.is(state.backends.get('draining')?.record.state, BackendState.draining);
+	t.is(state.backends.get('restarted')?.record.address, '127.0.0.1:2');
+	t.true(state.backends.has('same'));
+});
+
+test('an entry in a copy counts if it was written after the one that this VM has seen removed', async t => {
+	// Guards against a server that has registered again before the VM listed the store, and is not used.
+	const {state} = createState();
+	await restore(state, Collection.backends, 1, entry('restarted'), entry('counted', {sequence: 5}));
+	await applyBackends(state, 3, 1, [entry('restarted')], true);
+	await applyBackends(state, 4, 1, [entry('counted', {sequence: 5})], true);
+	await restore(state, Collection.backends, 2, entry('restarted', {startedAtMs: 2}), entry('counted', {sequence: 6}));
+	t.deepEqual([...state.backends.keys()].sort(), ['counted', 'restarted']);
+});
+
+test('a server whose outdated entry is written again is used, and so is one whose entry is still there after 30 s', async t => {
+	// Guards against servers that are ignored for good because their entries had expired before the restore.
+	const {state, timers} = createState();
+	await restore(state, Collection.backends, 1, entry('a'), entry('b'), entry('c'));
+	for (const [index, name] of ['a', 'b', 'c'].entries()) {
+		await applyBackends(state, 2 + index, 1, [entry(name)], true);
+		await timers.advance(2000);
+	}
+
+	await restore(state, Collection.backends, 2, entry('a'), entry('b'), entry('c'));
+	t.is(state.backends.size, 0);
+	await applyBackends(state, 2, 2, [entry('a')], false);
+	t.deepEqual([...state.backends.keys()], ['a']);
+	await applyBackends(state, 3, 2, [entry('c')], true);
+	await timers.advance(29_000);
+	t.deepEqual([...state.backends.keys()], ['a']);
+	await timers.advance(2000);
+	t.deepEqual([...state.backends.keys()], ['a', 'b']);
+});
+
+test('a server that the copy lacks is kept as long as one whose entry may have expired', async t => {
+	// Guards against the loss of servers that registered after the copy and have not written their entries again yet.
+	const {state, timers} = createState();
+	await restore(state, Collection.backends, 1, entry('a'), entry('b'));
+	await restore(state, Collection.backends, 2, entry('a'));
+	t.true(state.backends.has('b'));
+	await timers.advance(1850);
+	t.true(state.backends.has('b'));
+	await timers.advance(100);
+	t.false(state.backends.has('b'));
+});
+
+test('a configuration of the copy does not replace a later one, which is held until the store has it again', async t => {
+	// Guards against a withdrawn key that works again, and against VMs that never apply the next configuration.
+	const {state} = createState();
+	const config = (version: number, changes = {}) => ({name: 'main', value: configuration(version, changes)});
+	await restore(state, Collection.configurations, 1, config(8));
+	t.is(state.heldConfiguration, undefined);
+	await restore(state, Collection.configurations, 2, config(7));
+	t.is(state.configuration?.configuration.version, 8);
+	t.is(state.advertised().heldVersion, 8);
+	state.replicas[Collection.configurations].applyChanges({changes: [{record: {name: 'main', revision: 2, value: configuration(8)}, isRemoved: false}], revision: 2, era: 2});
+	await settle();
+	t.is(state.heldConfiguration, undefined);
+	await restore(state, Collection.configurations, 3, config(7));
+	t.is(state.heldConfiguration?.version, 8);
+	state.replicas[Collection.configurations].applyChanges({changes: [{record: {name: 'main', revision: 2, value: configuration(8, {workspaces: []})}, isRemoved: false}], revision: 2, era: 3});
+	await settle();
+	t.is(state.configuration?.configuration.workspaces.length, 0, 'the version was given out again');
+	t.is(state.heldConfiguration, undefined);
+});
+
+test('a configuration that a peer holds is applied if it is newer, and gives way to one of its version that is written later', async t => {
+	const {state} = createState();
+	await restore(state, Collection.configurations, 2, {name: 'main', value: configuration(7)});
+	state.adoptHeldConfiguration(configuration(8));
+	t.is(state.configuration?.configuration.version, 8);
+	t.is(state.heldConfiguration?.version, 8);
+	state.adoptHeldConfiguration(configuration(6));
+	t.is(state.configuration?.configuration.version, 8);
+	state.replicas[Collection.configurations].applyChanges({changes: [{record: {name: 'main', revision: 2, value: configuration(8, {workspaces: []})}, isRemoved: false}], revision: 2, era: 2});
+	await settle();
+	t.is(state.configuration?.configuration.workspaces.length, 0);
+});
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -7,7 +7,7 @@
 import {DepartedBackends} from './departed-backends.js';
 import {followedCollections} from './followed-collections.js';
 import {
-	Replica, type RemovedRecord, type ReplicaChange, type StoreReading,
+	Replica, type RemovedRecord, type ReplicaChange, type ReplicaRevisions, type StoreReading,
 } from './replica.js';
 import {StoreEra} from './store-era.js';
 
@@ -38,6 +38,18 @@
 	readonly receivedAtMs: number;
 };
 
+/** What a VM tells its peers about its replicas. */
+export type AdvertisedState = {
+	/** Highest era of the store that the VM knows of, which is that of the revisions and readings; 0 if it knows none. */
+	readonly storeEra: number;
+	/** Version of the configuration in force if the store holds only an earlier one since it was restored from a copy. */
+	readonly heldVersion?: number;
+	/** Revisions of the replicas by collection. */
+	readonly revisions: Readonly<Record<string, ReplicaRevisions>>;
+	/** What the store last showed to the VM, by collection; a collection is missing while the store has shown nothing. */
+	readonly storeReadings: Readonly<Record<string, StoreReading>>;
+};
+
 type FleetStateOptions = {
 	readonly timers: TimerService;
 	readonly logger: Logger;
@@ -100,8 +112,37 @@
 		return this.#evacuated.has(failureDomain);
 	}
 
+	/** The configuration in force if the store was restored from a copy that holds only an earlier version; VMs that know only the copy take it from their peers. */
+	get heldConfiguration(): Configuration | undefined {
+		const replica = this.replicas[Collection.configurations];
+		const current = this.#configuration?.configuration;
+		if (current === undefined || this.#configurationEra >= replica.position.era) {
+			return undefined;
+		}
+
+		return [...replica.records.values()].every(({value}) => value === undefined || (value as Configuration).version < current.version) ? current : undefined;
+	}
+
+	/** Applies a configuration that a peer holds, if it is newer than the one in force. */
+	adoptHeldConfiguration(configuration: Configuration): void {
+		if (this.#configuration === undefined || configuration.version > this.#configuration.configuration.version) {
+			// The peer read it in an earlier era, so a configuration of the same version in the present one replaces it.
+			this.#apply(configuration, 0);
+		}
+	}
+
+	/** State of the replicas as heartbeats tell it to peers. */
+	advertised(): AdvertisedState {
+		return {
+			storeEra: this.storeEra.value,
+			heldVersion: this.heldConfiguration?.version,
+			revisions: Object.fromEntries(followedCollections.map(collection => [collection, this.replicas[collection].advertisedRevisions])),
+			storeReadings: this.#readings(),
+		};
+	}
+
 	/** What the store last showed to this VM, by collection. */
-	readings(): Record<string, StoreReading> {
+	#readings(): Record<string, StoreReading> {
 		const readings: Record<string, StoreReading> = {};
 		for (const collection of followedCollections) {
 			const {reading} = this.replicas[collection];
@@ -136,16 +177,20 @@
 				continue;
 			}
 
-			this.#configuration = new ConfigurationIndex(configuration);
-			this.#configurationEra = era;
-			this.options.logger.info({
-				event: 'configuration', version: configuration.version, routes: configuration.routes.length, workspaces: configuration.workspaces.length,
-			}, 'configuration applied');
-			this.#reportUnknownValues(configuration);
-			void this.events.emit('configuration', this.#configuration);
+			this.#apply(configuration, era);
 		}
 	}
 
+	#apply(configuration: Configuration, era: number): void {
+		this.#configuration = new ConfigurationIndex(configuration);
+		this.#configurationEra = era;
+		this.options.logger.info({
+			event: 'configuration', version: configuration.version, routes: configuration.routes.length, workspaces: configuration.workspaces.length,
+		}, 'configuration applied');
+		this.#reportUnknownValues(configuration);
+		void this.events.emit('configuration', this.#configuration);
+	}
+
 	/** Whether a configuration replaces the one in force. A version may be given out again after a restore of the store; the later one was written in the later era. */
 	#isNewer(configuration: Configuration, era: number, current: Configuration): boolean {
 		const isVersionGivenOutAgain = configuration.version === current.version && era > this.#configurationEra && !isDeepStrictEqual(configuration, current);
--- a/packages/gateway/src/state/replica.test.ts
+++ b/packages/gateway/src/state/replica.test.ts
@@ -1,5 +1,7 @@
 import test from 'ava';
+import {settle} from '@fescuewick/core';
 import {Replica} from './replica.js';
+import {StoreEra} from './store-era.js';
 
 const record = (name: string, revision: number) => ({name, revision, value: name});
 
@@ -136,3 +138,83 @@
 	t.true(peer.adopt(reader.changesSince(4)));
 	t.deepEqual([...peer.records.keys()], ['b']);
 });
+
+test('the first listing of a higher era replaces a replica as a whole, also if its revision is lower', async t => {
+	// Guards against a replica that waits for the revision that it knows from before the store was restored.
+	const replica = new Replica();
+	replica.applyListing({records: [record('a', 3), record('b', 40)], revision: 60, era: 1});
+	await settle();
+	const change = replica.events.once('change');
+	t.true(replica.applyListing({records: [record('a', 3), record('c', 5)], revision: 7, era: 2}));
+	t.deepEqual([...replica.records.keys()], ['a', 'c']);
+	t.deepEqual(replica.revisions, {valid: 7, changed: 5, era: 2});
+	const {changed, removed, isRestore} = await change;
+	t.deepEqual(changed.map(({name}) => name), ['c']);
+	t.deepEqual(removed.map(({name}) => name), ['b']);
+	t.true(isRestore);
+	replica.applyChanges({changes: [{record: record('d', 9), isRemoved: false}], revision: 9, era: 2});
+	t.true(replica.records.has('d'));
+});
+
+test('a record with the revision and the name of one from before the restore counts as changed if its value differs', async t => {
+	// Guards against content of revisions that the store has assigned again and that is taken for known.
+	const replica = new Replica();
+	replica.applyListing({records: [{name: 'a', revision: 3, value: {x: 1}}, {name: 'b', revision: 4, value: {x: 1}}], revision: 4, era: 1});
+	await settle();
+	const change = replica.events.once('change');
+	replica.applyListing({records: [{name: 'a', revision: 3, value: {x: 1}}, {name: 'b', revision: 4, value: {x: 2}}], revision: 4, era: 2});
+	const {changed} = await change;
+	t.deepEqual(changed.map(({name}) => name), ['b']);
+});
+
+test('listings and changes of a lower era are ignored, whatever their revisions', t => {
+	// Guards against a late answer from before the restore, and against changes that do not follow the replica.
+	const replica = new Replica();
+	replica.applyListing({records: [record('a', 3)], revision: 5, era: 2});
+	t.false(replica.applyListing({records: [record('b', 90)], revision: 90, era: 1}));
+	replica.applyChanges({changes: [{record: record('b', 90), isRemoved: false}], revision: 90, era: 1});
+	replica.applyChanges({changes: [{record: record('c', 9), isRemoved: false}], revision: 9, era: 3});
+	replica.confirmRead(50, 1);
+	t.deepEqual([...replica.records.keys()], ['a']);
+	t.deepEqual(replica.position, {revision: 5, era: 2});
+	t.is(replica.confirmedAtMs, Number.NEGATIVE_INFINITY);
+});
+
+test('a peer in a lower era confirms nothing and has nothing that is missing', t => {
+	// Guards against a peer that has not noticed the restore and whose higher revisions count as newer.
+	const replica = new Replica();
+	replica.applyListing({records: [record('a', 3)], revision: 5, era: 2});
+	const peer = new Replica();
+	peer.applyListing({records: [record('a', 3), record('b', 80)], revision: 90, era: 1});
+	t.false(replica.isBehind(peer.advertisedRevisions));
+	t.false(replica.adopt(peer.changesSince(5, 2)));
+	t.false(replica.confirm(peer.advertisedRevisions));
+	replica.confirmPeerReading({changedBy: 1, ageMs: 0}, 1);
+	t.is(replica.confirmedAtMs, Number.NEGATIVE_INFINITY);
+	t.true(peer.isBehind(replica.advertisedRevisions));
+	t.true(peer.adopt(replica.changesSince(90, 1)), 'it gets all records, although its revision is higher');
+	t.deepEqual([...peer.records.keys()], ['a']);
+});
+
+test('a replica of a lower era than the highest one known is confirmed by nobody and reported as not loaded', t => {
+	// Guards against state from before the restore that counts as current because the VM has not listed the collection again yet.
+	const era = new StoreEra();
+	const replica = new Replica(() => 100, era);
+	era.observeAnswer({era: 1, revision: 5});
+	replica.applyListing({records: [record('a', 3)], revision: 5, era: 1});
+	replica.confirmRead(50, 1);
+	t.true(replica.isCurrent);
+	era.observePeer({era: 2, revision: 3}, 'peer');
+	t.false(replica.isCurrent);
+	replica.confirmRead(90, 1);
+	replica.confirmPeerReading({changedBy: 5, ageMs: 0}, 1);
+	replica.confirmPeerReading({changedBy: 3, ageMs: 0}, 2);
+	t.false(replica.confirm({valid: 9, changed: 3, era: 1}));
+	t.false(replica.isBehind({valid: 90, changed: 90, era: 1}), 'it is not fetched from peers that have not noticed');
+	t.false(replica.isBehind({valid: -1, changed: -1, era: 2}), 'nor from those that have not listed it again');
+	t.true(replica.isBehind({valid: 3, changed: 3, era: 2}));
+	t.is(replica.confirmedAtMs, 50);
+	t.is(replica.reading, undefined);
+	t.deepEqual(replica.advertisedRevisions, {valid: -1, changed: -1});
+	t.deepEqual([...replica.records.keys()], ['a'], 'its content stays in use');
+});
--- a/packages/gateway/src/state/replica.ts
+++ b/packages/gateway/src/state/replica.ts
@@ -80,7 +80,7 @@
 	constructor(private readonly nowMs: () => number = () => performance.now(), private readonly storeEra = new StoreEra()) {}
 
 	get revisions(): ReplicaRevisions {
-		return this.#era === 0 ? {valid: this.#valid, changed: this.#changed} : {valid: this.#valid, changed: this.#changed, era: this.#era};
+		return this.#ofEra({valid: this.#valid, changed: this.#changed});
 	}
 
 	/** Position up to which the replica is complete. */
@@ -99,7 +99,7 @@
 			return notLoaded;
 		}
 
-		return this.#knowsLastChange ? this.revisions : {valid: this.#changed, changed: this.#changed};
+		return this.#knowsLastChange ? this.revisions : this.#ofEra({valid: this.#changed, changed: this.#changed});
 	}
 
 	/** Last time at which the replica is known to have been complete, in milliseconds of the clock; minus infinity before the first. */
@@ -250,6 +250,11 @@
 		return this.#knowsLastChange ? this.#changed : this.#listedRevision;
 	}
 
+	/** Adds the era unless it is 0, which a missing one stands for. */
+	#ofEra(revisions: ReplicaRevisions): ReplicaRevisions {
+		return this.#era === 0 ? revisions : {...revisions, era: this.#era};
+	}
+
 	#isOfCurrentEra(era = 0): boolean {
 		return era === this.#era && this.isCurrent;
 	}
--- a/packages/gateway/src/state/store-checker.test.ts
+++ b/packages/gateway/src/state/store-checker.test.ts
@@ -3,10 +3,12 @@
 import {Collection} from '@fescuewick/store';
 import {MemoryCollectionStore} from '../testing/memory-collection-store.js';
 import {RestrictedStore, StoreTreatment} from '../testing/restricted-store.js';
+import {EraCheckedStore} from './era-checked-store.js';
 import {followedCollections} from './followed-collections.js';
 import {Replica} from './replica.js';
 import {StoreChecker} from './store-checker.js';
 import {StoreCircuitBreaker} from './store-circuit-breaker.js';
+import {StoreEra} from './store-era.js';
 
 const inForceMs = 2500;
 
@@ -14,20 +16,22 @@
 async function check(readerRank: number) {
 	const timers = new ManualTimerService();
 	const shared = new MemoryCollectionStore();
+	shared.era = 1;
+	const era = new StoreEra();
 	const store = new RestrictedStore(shared, timers);
 	const lines: Array<Record<string, unknown>> = [];
 	const logger = createMemoryLogger(lines);
 	const breaker = new StoreCircuitBreaker({timers, logger, random: () => 0.5});
-	const replicas = Object.fromEntries(Object.values(Collection).map(collection => [collection, new Replica(() => timers.nowMs())])) as Record<Collection, Replica>;
+	const replicas = Object.fromEntries(Object.values(Collection).map(collection => [collection, new Replica(() => timers.nowMs(), era)])) as Record<Collection, Replica>;
 	const missed: Collection[] = [];
 	let toldPeers = 0;
 	for (const collection of followedCollections) {
-		replicas[collection].applyListing({records: [], revision: shared.revision});
+		replicas[collection].applyListing({records: [], revision: shared.revision, era: 1});
 		replicas[collection].confirmRead(timers.nowMs());
 	}
 
 	const checker = new StoreChecker({
-		store, replicas, breaker, timers, logger, random: () => 0.5, readerRank: () => readerRank, inForceMs: () => inForceMs,
+		store: new EraCheckedStore(store, era), replicas, breaker, timers, logger, random: () => 0.5, readerRank: () => readerRank, inForceMs: () => inForceMs,
 		onMissed(collection) {
 			missed.push(collection);
 		},
@@ -38,7 +42,7 @@
 	});
 	void checker.run();
 	return {
-		timers, shared, store, replicas, checker, missed, lines, breaker, toldPeers: () => toldPeers,
+		timers, shared, era, store, replicas, checker, missed, lines, breaker, toldPeers: () => toldPeers,
 	};
 }
 
@@ -91,10 +95,10 @@
 	const vm = await check(50);
 	const {timers, shared, replicas: {[Collection.backends]: replica}, checker} = vm;
 	shared.set(Collection.backends, 's1', 'ready');
-	replica.applyChanges({changes: [{record: {name: 's1', revision: 2, value: 'ready'}, isRemoved: false}], revision: 2});
+	replica.applyChanges({changes: [{record: {name: 's1', revision: 2, value: 'ready'}, isRemoved: false}], revision: 2, era: 1});
 	shared.unset(Collection.backends, 's1');
 	const peer = new Replica(() => timers.nowMs());
-	peer.applyListing({records: [], revision: shared.revision});
+	peer.applyListing({records: [], revision: shared.revision, era: 1});
 	for (let elapsedMs = 0; elapsedMs < inForceMs; elapsedMs += 100) {
 		peer.confirmRead(timers.nowMs());
 		replica.confirmPeerReading(peer.reading!);
@@ -134,3 +138,29 @@
 		checker.stop();
 	});
 }
+
+test('a restore that no watch and no peer tells of is known in time at a VM of any rank', async t => {
+	// Guards against replicas that count as complete because the store has reached their revisions again.
+	for (const rank of [0, 1, 3, Number.POSITIVE_INFINITY]) {
+		const vm = await check(rank);
+		const {timers, shared, era, replicas, checker} = vm;
+		const copy = shared.copy();
+		for (const collection of followedCollections) {
+			shared.set(collection, 'lost', 1);
+		}
+
+		await timers.advance(inForceMs * 0.8);
+		shared.restore(copy);
+		for (const collection of followedCollections) {
+			shared.set(collection, 'next', 1);
+		}
+
+		await timers.advance(inForceMs * 0.8);
+		t.is(era.value, 2);
+		for (const collection of followedCollections) {
+			t.deepEqual([...replicas[collection].records.keys()], ['next'], `${collection}, rank ${rank}`);
+		}
+
+		checker.stop();
+	}
+});
