--- a/packages/gateway/src/state/store-checker.test.ts
+++ b/packages/gateway/src/state/store-checker.test.ts
@@ -164,3 +164,29 @@
 		checker.stop();
 	}
 });
+
+test('a check that shows a restore reads all collections, also those that peers confirmed a moment ago', async t => {
+	// Guards against replicas from before the restore that stay as long as they count as recently confirmed.
+	const {timers, shared, replicas, checker} = await check(0);
+	const copy = shared.copy();
+	for (let elapsedMs = 0; elapsedMs < inForceMs; elapsedMs += 100) {
+		for (const collection of [Collection.configurations, Collection.backends]) {
+			replicas[collection].confirmPeerReading({changedBy: 1, ageMs: 0}, 1);
+		}
+
+		if (elapsedMs === 500) {
+			shared.restore(copy);
+			shared.set(Collection.configurations, 'main', 'next');
+			shared.set(Collection.backends, 's1', 'next');
+		}
+
+		await timers.advance(100);
+		if (replicas[Collection.evacuations].position.era === 2) {
+			break;
+		}
+	}
+
+	await timers.advance(0);
+	t.deepEqual([Collection.configurations, Collection.backends].map(collection => replicas[collection].position.era), [2, 2]);
+	checker.stop();
+});
--- a/packages/gateway/src/state/store-era.test.ts
+++ b/packages/gateway/src/state/store-era.test.ts
@@ -210,3 +210,21 @@
 	t.true(replica.confirmedAtMs > confirmedAtMs);
 	followers.stop();
 });
+
+test('a reader that hears of a restore lists the store at once, also if the store has reached the known revision again', async t => {
+	// Guards against a watch that waits for changes after a revision that was given out again, until a check finds out.
+	const {timers, shared, era, replicas: {[Collection.backends]: replica}, followers} = followAll();
+	const copy = shared.copy();
+	shared.set(Collection.backends, 'lost', 1);
+	await timers.advance(100);
+	await timers.advance(600);
+	shared.restore(copy);
+	shared.set(Collection.backends, 'next', 1);
+	await timers.advance(20);
+	t.deepEqual([...replica.records.keys()], ['lost'], 'its watch waits');
+	era.observePeer({era: 2, revision: 2}, 'peer');
+	await settle();
+	await timers.advance(60);
+	t.deepEqual([...replica.records.keys()], ['next']);
+	followers.stop();
+});
