--- a/packages/gateway/src/state/departed-backends.ts
+++ b/packages/gateway/src/state/departed-backends.ts
@@ -27,7 +27,7 @@
 		this.#removed.delete(id);
 	}
 
-	/** Whether a record from a copy of the store shows a server as it was before it left, drained or restarted; `known` is the record in use, if any. */
+	/** Whether a record from a copy of the store shows a server as it was before it left, drained, restarted or wrote its record again; `known` is the record in use, if any. */
 	isOutdated(listed: BackendRecord, known: BackendRecord | undefined): boolean {
 		const removed = this.#removed.get(listed.id);
 		const isRemembered = removed !== undefined && this.timers.nowMs() - removed.atMs <= memoryMs;
@@ -36,9 +36,12 @@
 			return false;
 		}
 
-		const isOfSameStart = listed.startedAtMs === last.startedAtMs;
-		const isWrittenLater = isOfSameStart && (listed.sequence ?? 0) > (last.sequence ?? 0);
+		const writtenLater = (listed.sequence ?? 0) - (last.sequence ?? 0);
+		if (listed.startedAtMs < last.startedAtMs || writtenLater < 0) {
+			return true;
+		}
+
 		const isBackInUse = isRemembered || (last.state === BackendState.draining && listed.state === BackendState.ready);
-		return !isWrittenLater && (!isOfSameStart || isBackInUse);
+		return isBackInUse && writtenLater === 0;
 	}
 }
--- a/packages/gateway/src/state/fleet-state.test.ts
+++ b/packages/gateway/src/state/fleet-state.test.ts
@@ -158,17 +158,18 @@
 test('an entry in a copy is passed over if this VM knows that the server has left, drained or restarted since', async t => {
 	// Guards against requests to servers that are gone because the copy still lists them as ready.
 	const {state, timers} = createState();
-	await restore(state, Collection.backends, 1, entry('left'), entry('draining'), entry('restarted', {address: '127.0.0.1:1'}), entry('counted', {sequence: 5}), entry('same'));
+	await restore(state, Collection.backends, 1, entry('left'), entry('draining'), entry('restarted', {address: '127.0.0.1:1'}), entry('counted', {sequence: 5}), entry('warm', {sequence: 2}), entry('same'));
 	await applyBackends(state, 2, 1, [entry('draining', {state: BackendState.draining}), entry('restarted', {startedAtMs: 2, address: '127.0.0.1:2'})], false);
 	await applyBackends(state, 3, 1, [entry('left')], true);
 	await timers.advance(2000);
 	await applyBackends(state, 4, 1, [entry('counted', {sequence: 5})], true);
-	await restore(state, Collection.backends, 2, entry('left'), entry('draining'), entry('restarted', {address: '127.0.0.1:1'}), entry('counted', {sequence: 5}), entry('same'));
+	await restore(state, Collection.backends, 2, entry('left'), entry('draining'), entry('restarted', {address: '127.0.0.1:1'}), entry('counted', {sequence: 5}), entry('warm', {sequence: 1, coldForMs: 5000}), entry('same'));
 	t.false(state.backends.has('left'));
 	t.false(state.backends.has('counted'));
 	t.is(state.backends.get('draining')?.record.state, BackendState.draining);
 	t.is(state.backends.get('restarted')?.record.address, '127.0.0.1:2');
 	t.true(state.backends.has('same'));
+	t.is(state.backends.get('warm')?.record.coldForMs, 0);
 });
 
 test('an entry in a copy counts if it was written after the one that this VM has seen removed', async t => {
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -164,14 +164,13 @@
 		}
 	}
 
-	#onConfigurations({changed}: ReplicaChange): void {
+	#onConfigurations({changed, era = 0}: ReplicaChange): void {
 		for (const {value} of changed) {
 			if (value === undefined) {
 				continue;
 			}
 
 			const configuration = value as Configuration;
-			const {era} = this.replicas[Collection.configurations].position;
 			if (this.#configuration !== undefined && !this.#isNewer(configuration, era, this.#configuration.configuration)) {
 				this.options.logger.warn({event: 'configuration-ignored', version: configuration.version, held: this.#configuration.version}, 'ignored a configuration that is not newer');
 				continue;
@@ -245,7 +244,7 @@
 			return;
 		}
 
-		logger.info({event: 'backends-outdated', count: outdated.length, first: outdated.slice(0, maxReportedValues).map(({name}) => name)}, 'the copy of the store lists backend servers as they were before they left, drained or restarted');
+		logger.info({event: 'backends-outdated', count: outdated.length, first: outdated.slice(0, maxReportedValues).map(({name}) => name)}, 'the copy of the store lists earlier states of backend servers');
 		const replica = this.replicas[Collection.backends];
 		const {era} = replica.position;
 		timers.after(outdatedEntryMs, () => {
--- a/packages/gateway/src/state/replica.ts
+++ b/packages/gateway/src/state/replica.ts
@@ -50,6 +50,8 @@
 export type ReplicaChange = {
 	readonly changed: readonly CollectionRecord[];
 	readonly removed: readonly RemovedRecord[];
+	/** Era of the records; 0 if it is missing. */
+	readonly era?: number;
 	/** The update replaced the replica after the store was restored from a copy, so it may show earlier states of records, and removed ones. */
 	readonly isRestore?: boolean;
 };
@@ -315,6 +317,6 @@
 	}
 
 	#emit(change: ReplicaChange): void {
-		void this.events.emit('change', change);
+		void this.events.emit('change', this.#era === 0 ? change : {...change, era: this.#era});
 	}
 }
