Hedge requests by a quantile of their route's response times

A request that may be repeated is sent to a second server with a free slot when it takes longer than a quantile of the recent response times of its route at this VM. The settings group hedging limits the fraction of a service's requests; without it, the second attempt after four times the mean duration stays as it is. Hedged requests also count against the retry budget, so the bound on additional arrivals holds whatever the fraction is.

Each new test was seen to fail with the rule it guards taken out of the built code: the free slot, the samples of cancelled attempts, at most once and streamed bodies, the fraction (200 hedged requests, 12 allowed), the retry budget (200, 32 allowed), rejections, the queue, the stop and the cancelling. The effect on the slowest responses is not measured yet.

--- a/packages/entry/src/forward/retry-budget.ts
+++ b/packages/entry/src/forward/retry-budget.ts
@@ -35,10 +35,15 @@
 		this.#expire();
 	}
 
+	/** Repeated attempts that may be taken now; negative if the number of first attempts has fallen since they were taken. */
+	get remaining(): number {
+		this.#expire();
+		return Math.floor(this.#firstCount * this.limits.fraction) + this.limits.minCount() - this.#repeatedAtMs.length;
+	}
+
 	/** Takes one repeated attempt from the budget; returns false if it is exhausted. */
 	take(): boolean {
-		this.#expire();
-		if (this.#repeatedAtMs.length >= Math.floor(this.#firstCount * this.limits.fraction) + this.limits.minCount()) {
+		if (this.remaining <= 0) {
 			return false;
 		}
 
--- a/packages/gateway/src/forward/answer-classification.ts
+++ b/packages/gateway/src/forward/answer-classification.ts
@@ -59,6 +59,10 @@
 	recordAnswerFeedback(backend, answer, nowMs);
 	recordStatements(attempt, answer, {requestId: admitted.id, placer: context.placer});
 	if (answer.isNotRun || answer.isMisdirected) {
+		if (!answer.isMisdirected) {
+			context.hedging?.recordRejection(service);
+		}
+
 		return {kind: AnswerKind.rejected, reason: recordRejection(backend, answer, context.placer, nowMs)};
 	}
 
--- a/packages/gateway/src/forward/backend-attempt.ts
+++ b/packages/gateway/src/forward/backend-attempt.ts
@@ -1,4 +1,5 @@
 import {type Buffer} from 'node:buffer';
+import {type TimerService} from '@fescuewick/core';
 import {Attempt, ByteBuffer} from '@fescuewick/entry/http';
 import {type Backend} from '../placement/backend.js';
 import {type ServerStart} from '../placement/server-statements.js';
@@ -16,6 +17,8 @@
 	/** Start of the server to which it was sent; the server may have been restarted when the answer arrives. */
 	readonly serverStart: ServerStart;
 	readonly sentAtMs: number;
+	/** When the head of the response arrived; undefined before. */
+	headAtMs: number | undefined;
 	/** Buffered part of the answer; empty once it is streamed. */
 	readonly buffered: ByteBuffer;
 	sizeBytes: number;
@@ -37,7 +40,7 @@
 }
 
 /** Acquires a connection to a server for an attempt without sending anything; returns undefined if no connection is available. */
-export function createAttempt(admitted: AdmittedRequest, backend: Backend, nowMs: number, listener: AttemptListener): BackendAttempt | undefined {
+export function createAttempt(admitted: AdmittedRequest, backend: Backend, timers: TimerService, listener: AttemptListener): BackendAttempt | undefined {
 	const mayRepeat = admitted.route.isRepeatable && isReplayable(admitted);
 	const connection = backend.connections.acquire(mayRepeat ? undefined : maxLivenessAgeMs);
 	if (connection === undefined) {
@@ -45,7 +48,9 @@
 	}
 
 	const exchange = new Attempt(connection, {
-		onHead: () => undefined,
+		onHead() {
+			attempt.headAtMs = timers.nowMs();
+		},
 		onData: (_attempt, chunk) => listener.onData(attempt, chunk),
 		onEnd() {
 			listener.onEnd(attempt);
@@ -55,7 +60,7 @@
 		},
 	});
 	const attempt: BackendAttempt = {
-		exchange, backend, serverStart: backend.start, sentAtMs: nowMs, buffered: new ByteBuffer(), sizeBytes: 0, isStreaming: false,
+		exchange, backend, serverStart: backend.start, sentAtMs: timers.nowMs(), headAtMs: undefined, buffered: new ByteBuffer(), sizeBytes: 0, isStreaming: false,
 	};
 	return attempt;
 }
--- a/packages/gateway/src/forward/forwarded-request.test.ts
+++ b/packages/gateway/src/forward/forwarded-request.test.ts
@@ -59,6 +59,7 @@
 		queues,
 		closeBarrier,
 		retryBudgets: new RetryBudgets(timers, {windowMs: 10_000, fraction: 0.2, minCount: () => 10}),
+		hedging: undefined,
 		latency: new RouteLatency(),
 		slotDemandMeter: new SlotDemandMeter(),
 		isDraining: () => false,
--- a/packages/gateway/src/forward/forwarded-request.ts
+++ b/packages/gateway/src/forward/forwarded-request.ts
@@ -3,7 +3,7 @@
 	ResultCode, resultCodeTable, type Cancel,
 } from '@fescuewick/core';
 import {hasCallerLeft} from '@fescuewick/entry/http';
-import {pauseRetryAfterMs, retryAfterMs} from '../admission/admission.js';
+import {retryAfterMs} from '../admission/admission.js';
 import {type ActiveRequest} from '../admission/request-queues.js';
 import {PlacementFailure, type Placement} from '../placement/placer.js';
 import {type AdmittedRequest} from './admitted-request.js';
@@ -13,6 +13,8 @@
 } from './answer-classification.js';
 import {sendError} from './error-answer.js';
 import {type ForwardingContext} from './forwarding-context.js';
+import {missingServerError} from './missing-server.js';
+import {createRequestHedge, type RequestHedge} from './request-hedge.js';
 import {RequestPlacement} from './request-placement.js';
 import {summarizeRequest} from './request-summary.js';
 import {FailureKind, mayRetry} from './retry-policy.js';
@@ -22,11 +24,6 @@
 import {OpenAttempts} from './open-attempts.js';
 import {SlotWait, slotWaitLimitMs} from './slot-wait.js';
 
-/** A hedged attempt starts after this multiple of the expected duration without an answer. */
-const hedgeDelayFactor = 4;
-/** Shortest time before a hedged attempt, in milliseconds. */
-const minHedgeDelayMs = 1000;
-
 /** Forwards one request: queues it for a slot, sends it to a server, retries or hedges it where that is safe, and answers the caller once. */
 export class ForwardedRequest implements ActiveRequest, AttemptListener {
 	readonly priority: number;
@@ -44,6 +41,7 @@
 	#fallbackAttempt: BackendAttempt | undefined;
 	readonly #answerRelay: AnswerRelay;
 	readonly #slotWait: SlotWait;
+	readonly #hedge: RequestHedge;
 
 	constructor(private readonly context: ForwardingContext, private readonly admitted: AdmittedRequest) {
 		this.priority = admitted.workspace?.priority ?? admitted.route.priority;
@@ -58,9 +56,22 @@
 			}, onStreaming: attempt => {
 				// Once the head of an answer goes to the caller, no other answer can.
 				this.#fallbackAttempt = undefined;
+				this.#hedge.onAnswered(attempt);
 				recordStreamingAnswer(attempt, admitted, context);
 			},
 		});
+		this.#hedge = createRequestHedge({
+			admitted,
+			context,
+			openAttempts: this.#openAttempts,
+			requestPlacement: this.#requestPlacement,
+			isFinished: () => this.#isFinished,
+			attempts: () => this.#attempts,
+			timeLeftMs: () => this.#timeLeftMs,
+			expectedMs: () => this.#expectedMs,
+			takeRetry: () => this.#allowsRetry(FailureKind.unknown),
+			send: placement => this.#send(placement),
+		});
 	}
 
 	get arrivedAtMs(): number {
@@ -115,10 +126,9 @@
 		}
 
 		this.#slotWait.end();
-		if (placement === PlacementFailure.none) {
-			this.#failWithoutServer();
-		} else if (placement === PlacementFailure.notAdmitted) {
-			this.#fail(this.#possibleRuns > 0 ? ResultCode.backendCut : ResultCode.queueFull, 'the home region admits other objects');
+		if (typeof placement === 'string') {
+			const {code, reason, retryMs} = missingServerError(placement, this.#possibleRuns > 0, this.#requestPlacement, this.context);
+			this.#fail(code, reason, retryMs);
 		} else {
 			this.#send(placement);
 		}
@@ -126,18 +136,6 @@
 		return true;
 	}
 
-	/** Fails the request because no server may run it; if servers only ask for a pause, the caller is told to come back after it. */
-	#failWithoutServer(): void {
-		const pauseMs = this.#requestPlacement.pauseMs();
-		if (this.#possibleRuns > 0) {
-			this.#fail(ResultCode.backendCut, 'no usable server');
-		} else if (pauseMs === undefined) {
-			this.#fail(ResultCode.noBackend, 'no usable server');
-		} else {
-			this.#fail(ResultCode.noBackend, 'all usable servers ask for a pause', pauseRetryAfterMs(pauseMs, this.context.random()));
-		}
-	}
-
 	/** Fails the request because the process stops. */
 	abort(): void {
 		const mayHaveRun = this.#possibleRuns > 0 || this.#openAttempts.mayHaveRun;
@@ -165,15 +163,15 @@
 		});
 	}
 
-	#send(placement: Placement): void {
+	/** Sends the request to a server; returns undefined if no connection to it is available. */
+	#send(placement: Placement): BackendAttempt | undefined {
 		const {timers, retryBudgets} = this.context;
 		const {backend} = placement;
-		const nowMs = timers.nowMs();
-		const attempt = createAttempt(this.admitted, backend, nowMs, this);
+		const attempt = createAttempt(this.admitted, backend, timers, this);
 		this.#requestPlacement.exclude(backend.id);
 		if (attempt === undefined) {
 			this.#retryOrFail(FailureKind.notRun, ResultCode.noBackend, 'no connection to the server is available');
-			return;
+			return undefined;
 		}
 
 		this.#lastPlacement = placement;
@@ -183,36 +181,11 @@
 		}
 
 		this.#attempts++;
-		backend.recordSent(nowMs);
+		backend.recordSent(timers.nowMs());
 		this.#openAttempts.add(attempt);
 		transmit(attempt, this.admitted, this.context, this.#timeLeftMs);
-		if (this.admitted.route.isRepeatable && isReplayable(this.admitted)) {
-			this.#scheduleHedge(attempt);
-		}
-	}
-
-	/** Schedules a hedged attempt at a second server for a repeatable request, in case the first has not started to answer by then. */
-	#scheduleHedge(attempt: BackendAttempt): void {
-		const {timers, closeBarrier} = this.context;
-		this.#cancels.push(timers.after(Math.max(minHedgeDelayMs, this.#expectedMs * hedgeDelayFactor), () => {
-			closeBarrier.run(() => {
-				this.#hedge(attempt);
-			});
-		}));
-	}
-
-	#hedge(attempt: BackendAttempt): void {
-		const isSilent = this.#openAttempts.has(attempt) && attempt.exchange.head === undefined;
-		if (this.#isFinished || !isSilent || this.#openAttempts.count > 1) {
-			return;
-		}
-
-		attempt.backend.recordOutcome(true, undefined, this.context.timers.nowMs());
-		const placement = this.#requestPlacement.find();
-		// Without a second server the first attempt goes on.
-		if (typeof placement !== 'string' && this.#allowsRetry(FailureKind.unknown)) {
-			this.#send(placement);
-		}
+		this.#hedge.onSent(attempt);
+		return attempt;
 	}
 
 	/** Receives a chunk of an answer. */
@@ -341,6 +314,7 @@
 
 	/** Passes a buffered answer on to the caller and ends the request. */
 	#passOnAnswer(attempt: BackendAttempt): void {
+		this.#hedge.onAnswered(attempt);
 		this.#openAttempts.cancelOthers(attempt);
 		this.#answerRelay.writeBuffered(attempt);
 		this.#finish(ResultCode.ok, attempt.exchange.head!.status);
@@ -364,7 +338,7 @@
 
 		const {admitted: {response, request, id, workspace, service}, context} = this;
 		const isNotRun = this.#possibleRuns === 0 && !this.#openAttempts.mayHaveRun;
-		this.#openAttempts.cancelOthers(undefined);
+		this.#cancelAttempts();
 		if (isNotRun) {
 			context.slotDemandMeter.recordRefusal(service, this.#requestPlacement.boundRegion);
 			if (workspace !== undefined) {
@@ -393,11 +367,16 @@
 	/** Cancels the request because the caller closed its connection. */
 	#onCallerClosed(): void {
 		if (!this.#isFinished) {
-			this.#openAttempts.cancelOthers(undefined);
+			this.#cancelAttempts();
 			this.#finish(ResultCode.callerLeft, undefined, 'the caller closed its connection');
 		}
 	}
 
+	#cancelAttempts(): void {
+		this.#hedge.onAbandoned();
+		this.#openAttempts.cancelOthers(undefined);
+	}
+
 	#finish(code: ResultCode, status: number | undefined, reason?: string): void {
 		this.#isFinished = true;
 		this.#slotWait.end();
@@ -414,6 +393,7 @@
 			server: this.#lastServer,
 			placement: this.#lastPlacement,
 			expectedMs: this.#expectedMs,
+			hedge: this.#hedge.end(),
 		}, this.context));
 	}
 }
--- a/packages/gateway/src/forward/forwarding-context.ts
+++ b/packages/gateway/src/forward/forwarding-context.ts
@@ -5,6 +5,7 @@
 import {type SlotDemandMeter} from '../placement/slot-demand-meter.js';
 import {type Placer} from '../placement/placer.js';
 import {type HeaderDialect} from './header-dialect.js';
+import {type Hedging} from './hedging.js';
 import {type RouteLatency} from './route-latency.js';
 
 /** Fields of a finished request's log line. */
@@ -38,6 +39,8 @@
 	/** Requests are sent to servers only behind it. */
 	readonly closeBarrier: CloseBarrier;
 	readonly retryBudgets: RetryBudgets;
+	/** Undefined unless the settings allow hedged requests. */
+	readonly hedging: Hedging | undefined;
 	readonly latency: RouteLatency;
 	readonly slotDemandMeter: SlotDemandMeter;
 	readonly isDraining: () => boolean;
--- a/packages/gateway/src/forward/request-summary.ts
+++ b/packages/gateway/src/forward/request-summary.ts
@@ -2,6 +2,7 @@
 import {type Placement} from '../placement/placer.js';
 import {type AdmittedRequest} from './admitted-request.js';
 import {type ForwardingContext, type RequestSummary} from './forwarding-context.js';
+import {type HedgeSummary} from './request-hedge.js';
 
 /** How a request ended. */
 export type RequestOutcome = {
@@ -14,6 +15,8 @@
 	readonly server: string | undefined;
 	readonly placement: Placement | undefined;
 	readonly expectedMs: number;
+	/** Undefined unless requests are hedged by the settings. */
+	readonly hedge: HedgeSummary | undefined;
 };
 
 /** Fields of a finished request's log line: its outcome and the placement, load and configuration behind it. */
@@ -38,5 +41,6 @@
 		serverLimitPerS: placement?.limitPerS,
 		expectedMs: Math.round(end.expectedMs),
 		configuration: configurationVersion(),
+		...end.hedge,
 	};
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,7 +6,8 @@
 import {Collection, type CollectionStore} from '@fescuewick/store';
 import {RequestQueues} from './admission/request-queues.js';
 import {entryAddressesFor} from './directory/entry-directory.js';
-import {RetryBudgets, type ForwardingContext, type RequestSummary} from './forward/forwarding-context.js';
+import {createAttemptLimits} from './forward/attempt-limits.js';
+import {type ForwardingContext, type RequestSummary} from './forward/forwarding-context.js';
 import {type HeaderDialect} from './forward/header-dialect.js';
 import {RouteLatency} from './forward/route-latency.js';
 import {measureIntervalMs, WorkspaceLimiter} from './limits/workspace-limiter.js';
@@ -41,8 +42,6 @@
 
 /** TTL of directory answers, in milliseconds; callers use a lost VM for at most this long after its peers have noticed. */
 const directoryTtlMs = 2000;
-/** Fraction of the retry budget that is used; the remainder covers windows of VMs that are not aligned, and VMs that have just joined. */
-const usedBudgetFraction = 0.75;
 /** Time after a store outage in which removed entries may have expired, in milliseconds. */
 const expiryWindowMs = 3000;
 /** Interval of the checks for silent peers and for delays of the event loop, in milliseconds. */
@@ -338,7 +337,6 @@
 		const {timers, random, dialect} = this.deps;
 		const requests = this.#metrics.counter('fescuewick_requests_total', 'Requests by result', ['result'] as const);
 		const latency = this.#metrics.histogram('fescuewick_request_duration_seconds', 'Time from arrival to the end of the answer', latencyBucketsS);
-		const {retryRatio, retryWindowMs} = this.settings.bounds;
 		return {
 			timers,
 			random,
@@ -347,10 +345,8 @@
 			limiter: this.#limiter,
 			queues: this.#queues,
 			closeBarrier: this.#closeBarrier,
-			retryBudgets: new RetryBudgets(timers, {
-				windowMs: retryWindowMs,
-				fraction: retryRatio * usedBudgetFraction,
-				minCount: () => Math.floor(this.settings.bounds.retrySlack * usedBudgetFraction / this.#peers.limitSharers().length),
+			...createAttemptLimits({
+				timers, metrics: this.#metrics, settings: () => this.settings, sharerCount: () => this.#peers.limitSharers().length,
 			}),
 			latency: this.#latency,
 			slotDemandMeter: this.#slotDemandMeter,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -37,6 +37,13 @@
 		/** Memory for buffered bodies of all requests, in bytes; beyond it, bodies are streamed and their requests are not retried. */
 		maxBufferedBytes: z.number().int().positive().default(33_554_432),
 	}).prefault({}),
+	/** Requests that may be repeated are sent to a second server if they take longer than usual; without a fraction only if the first server is silent. */
+	hedging: z.object({
+		/** Fraction of a service's requests that may be hedged; 0 turns hedging by quantile off. */
+		fraction: z.number().min(0).max(1).default(0),
+		/** Quantile of a route's recent response times after which a request is hedged. */
+		quantile: z.number().min(0.5).max(0.99).default(0.95),
+	}).prefault({}),
 	bounds: z.object({
 		/** Longest time from SIGTERM to the end of the process, in milliseconds. */
 		graceMs: z.number().positive(),
--- a/packages/gateway/src/testing/fake-backend-server.ts
+++ b/packages/gateway/src/testing/fake-backend-server.ts
@@ -68,9 +68,9 @@
 		});
 	}
 
-	/** Listens on loopback; returns `ip:port`. */
-	async listen(): Promise<string> {
-		this.#server.listen(0, '127.0.0.1');
+	/** Listens on loopback, on a free port by default; returns `ip:port`. */
+	async listen(port = 0): Promise<string> {
+		this.#server.listen(port, '127.0.0.1');
 		await once(this.#server, 'listening');
 		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
 	}
