Treat responses with a status below 100 or above 599 as failures

Responses of a server with status 600 and 999 reached callers unchanged, since the HTTP client passes on any status of three digits. The attempt now fails where the head of a response is read, and its connection is closed.

--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -2,6 +2,7 @@
 import {type Readable} from 'node:stream';
 import {type Dispatcher} from 'undici';
 import {type BackendConnection} from '../backends/connections.js';
+import {invalidStatusError} from '../backends/status-check.js';
 
 /** A request in the form in which it is sent to a backend server. */
 export type OutgoingRequest = {
@@ -82,6 +83,12 @@
 					return;
 				}
 
+				const statusError = invalidStatusError(status);
+				if (statusError !== undefined) {
+					controller.abort(statusError);
+					return;
+				}
+
 				// Informational (1xx) answers precede the final one.
 				if (status >= 200) {
 					this.head = {status, headers: headers as AnswerHead['headers']};
--- a/packages/entry/src/http.ts
+++ b/packages/entry/src/http.ts
@@ -1,5 +1,6 @@
 export * from './backends/connections.js';
 export * from './backends/bounded-reads.js';
+export * from './backends/status-check.js';
 export * from './forward/attempt.js';
 export * from './forward/retry-budget.js';
 export * from './request/body-reader.js';
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,4 @@
-export {readBounded} from '@fescuewick/entry/http';
+export {readBounded, rejectInvalidStatuses} from '@fescuewick/entry/http';
 export * from './forward/header-dialect.js';
 export * from './gateway.js';
 export * from './model/configuration.js';
--- a/packages/gateway/src/peers/peer-client.ts
+++ b/packages/gateway/src/peers/peer-client.ts
@@ -1,7 +1,7 @@
 import {decode} from 'cbor-x';
 import {Agent, request} from 'undici';
 import {FescuewickError, ResultCode} from '@fescuewick/core';
-import {readBounded} from '@fescuewick/entry/http';
+import {readBounded, rejectInvalidStatuses} from '@fescuewick/entry/http';
 import {type Collection} from '@fescuewick/store';
 import {type VmRecord} from '../model/records.js';
 import {type ReplicaDelta, type ReplicaSnapshot} from '../state/replica.js';
@@ -20,6 +20,8 @@
 		connections: 1, pipelining: 1, keepAliveTimeout: idleTimeoutMs, keepAliveMaxTimeout: idleTimeoutMs, connect: {timeout: callTimeoutMs / 2},
 	});
 
+	readonly #dispatcher = this.#agent.compose(rejectInvalidStatuses);
+
 	/** Reads a collection from a peer: the changes after `sinceRevision`, or all records if the peer no longer has all of these changes. */
 	async readCollection(peerAddress: string, collection: Collection, sinceRevision: number): Promise<ReplicaSnapshot | ReplicaDelta> {
 		const answer = await this.#get(peerAddress, `/v1/collections/${collection}?since=${sinceRevision}`) as ReplicaSnapshot | ReplicaDelta | undefined;
@@ -45,7 +47,7 @@
 	}
 
 	async #get(peerAddress: string, path: string): Promise<unknown> {
-		const {statusCode, body} = await request(`http://${peerAddress}${path}`, {dispatcher: this.#agent, signal: AbortSignal.timeout(callTimeoutMs)});
+		const {statusCode, body} = await request(`http://${peerAddress}${path}`, {dispatcher: this.#dispatcher, signal: AbortSignal.timeout(callTimeoutMs)});
 		const content = await readBounded(body, maxAnswerBytes, ResultCode.frameMalformed);
 		if (statusCode !== 200) {
 			throw new FescuewickError(ResultCode.peerClosed, `${peerAddress} answered ${path} with status ${statusCode}`);
--- a/packages/gateway/src/placement/prober.ts
+++ b/packages/gateway/src/placement/prober.ts
@@ -1,6 +1,6 @@
 import {Agent, request, type Dispatcher} from 'undici';
 import {type Cancel, type Logger, type TimerService} from '@fescuewick/core';
-import {shortAnswerConnector} from '@fescuewick/entry/http';
+import {rejectInvalidStatuses, shortAnswerConnector} from '@fescuewick/entry/http';
 import {type HeaderDialect} from '../forward/header-dialect.js';
 import {type Backend, ConditionEvent} from './backend.js';
 import {StatementSource} from './backend-statements.js';
@@ -38,7 +38,11 @@
 	readonly #probing = new Set<string>();
 	#cancel: Cancel | undefined;
 
-	constructor(private readonly options: ProberOptions) {}
+	readonly #dispatcher: Dispatcher;
+
+	constructor(private readonly options: ProberOptions) {
+		this.#dispatcher = options.dispatcher.compose(rejectInvalidStatuses);
+	}
 
 	start(): void {
 		this.#cancel = this.options.timers.repeat(probeIntervalMs, () => {
@@ -56,11 +60,11 @@
 	}
 
 	async #probe(backend: Backend): Promise<void> {
-		const {timers, dialect, dispatcher, healthPathOf, placer, logger, onSlotAvailable} = this.options;
+		const {timers, dialect, healthPathOf, placer, logger, onSlotAvailable} = this.options;
 		const {address, service} = backend.record;
 		const serverStart = backend.start;
 		try {
-			const response = await request(`http://${address}${healthPathOf(service) ?? '/'}`, {dispatcher, signal: AbortSignal.timeout(probeTimeoutMs), reset: true});
+			const response = await request(`http://${address}${healthPathOf(service) ?? '/'}`, {dispatcher: this.#dispatcher, signal: AbortSignal.timeout(probeTimeoutMs), reset: true});
 			await response.body.dump();
 			const {server, coldForMs, isLeaving, pauseMs, limit} = dialect.readAnswer(response.statusCode, response.headers);
 			if (server !== undefined && server !== backend.id) {
