--- a/packages/gateway/src/forward/request-hedge.ts
+++ b/packages/gateway/src/forward/request-hedge.ts
@@ -20,7 +20,7 @@
 	/** Id of the server of the first attempt. */
 	readonly hedgedFrom?: string;
 	readonly hedgeWinner?: HedgeWinner;
-	/** Why the request was not hedged although its delay had passed. */
+	/** Why the request was last not hedged although its delay had passed or its server was silent. */
 	readonly hedgeRefusal?: HedgeRefusal;
 };
 
@@ -207,9 +207,12 @@
 		return {hedgedAfterMs: this.#hedgedAfterMs, hedgedFrom: this.#first!.backend.id, hedgeWinner: this.#winner};
 	}
 
-	/** Counts the silence of the server also while a hedged attempt is open, because the first attempt of a hedged request rarely gets to fail otherwise. */
+	/** Counts the silence of the server also while a hedged attempt is open, because the first attempt of a hedged request rarely gets to fail otherwise. Without one the decision is made again: the first may have been refused for a reason that has passed, or for want of samples. */
 	protected onSilent(attempt: BackendAttempt): void {
 		this.recordSilence(attempt);
+		if (this.#hedgedAfterMs === undefined) {
+			this.#tryHedge(attempt);
+		}
 	}
 
 	#tryHedge(attempt: BackendAttempt): void {
--- a/packages/gateway/src/hedged-requests.test.ts
+++ b/packages/gateway/src/hedged-requests.test.ts
@@ -28,12 +28,13 @@
 	readonly serverCount?: number;
 	readonly slots?: number;
 	readonly changes?: Partial<Route>;
-	/** Path of the requests that give the route its samples. */
+	/** Path of the requests that give the route its samples, and their number. */
 	readonly warmUpPath?: string;
+	readonly warmUps?: number;
 };
 
 /** Starts servers that answer at once except to paths ending in `/slow`, whose arrivals are handled by `onArrival`, and a gateway that has seen enough responses to hedge. */
-async function startWarm(t: ExecutionContext, onArrival: (arrival: number, ...parameters: Parameters<RequestListener>) => void, {serverCount = 3, slots = 100, changes = {}, warmUpPath = '/check/1', ...options}: SetupOptions = {}): Promise<Setup> {
+async function startWarm(t: ExecutionContext, onArrival: (arrival: number, ...parameters: Parameters<RequestListener>) => void, {serverCount = 3, slots = 100, changes = {}, warmUpPath = '/check/1', warmUps = warmUpCount, ...options}: SetupOptions = {}): Promise<Setup> {
 	const store = storeWith(configuration(1, {
 		routes: [route({timeoutMs: 6000, ...changes}), route({
 			name: 'reserve', pathPrefix: '/reserve/', isRepeatable: false, timeoutMs: 6000,
@@ -54,7 +55,7 @@
 	const ids = Array.from({length: serverCount}, (_, index) => `s${index + 1}`);
 	const servers = await Promise.all(ids.map(async id => addBackend(t, store, {id, slots, onRequest})));
 	const started = await start(t, {store, hedging: {fraction: 1}, ...options});
-	for (let count = 0; count < warmUpCount; count++) {
+	for (let count = 0; count < warmUps; count++) {
 		const response = await started.call(warmUpPath);
 		await response.text();
 	}
@@ -92,6 +93,20 @@
 	t.regex(await metrics(), /fescuewick_hedged_requests_total{.*winner="hedge".*} [1-9]/);
 });
 
+test.serial('a request whose server is silent is hedged also without samples', async t => {
+	// Guards against requests that wait for a server that hangs until their deadline, at a VM that has just started.
+	const {call, arrivals, line} = await startWarm(t, (arrival, socket, request) => {
+		if (arrival > 1) {
+			answerOk(socket, request, 'second');
+		}
+	}, {warmUps: 0});
+	const response = await call('/check/slow', slow);
+	t.is(await response.text(), 'second');
+	t.is(arrivals(), 2);
+	t.like(line(), {hedgeWinner: 'hedge', attempts: 2});
+	t.true(line()!.hedgedAfterMs as number >= 1000);
+});
+
 test.serial('the response of the first server is passed on if it comes while the hedged request is open', async t => {
 	// Guards against two responses to one caller, and against a hedged request that is kept open.
 	let answerFirst: (() => void) | undefined;
