--- a/packages/gateway/src/forward/request-hedge.ts
+++ b/packages/gateway/src/forward/request-hedge.ts
@@ -131,7 +131,8 @@
 
 /** Hedges a request that takes longer than the quantile of its route, within the operator's fraction and the retry budget. */
 class QuantileHedge extends RequestHedge {
-	/** Last attempt that is not the hedged one. */
+	#isCounted = false;
+	/** Last attempt before the hedged one. */
 	#first: BackendAttempt | undefined;
 	#hedge: BackendAttempt | undefined;
 	#hedgedAfterMs: number | undefined;
@@ -143,14 +144,15 @@
 	}
 
 	override onSent(attempt: BackendAttempt): void {
-		const {admitted: {route, service}, timeLeftMs, expectedMs, attempts} = this.options;
-		if (attempts() === 1) {
+		const {admitted: {route, service}, openAttempts, timeLeftMs, expectedMs} = this.options;
+		if (!this.#isCounted) {
+			this.#isCounted = true;
 			this.hedging.recordRequest(service);
 		}
 
 		super.onSent(attempt);
-		// A request is hedged at most once.
-		if (this.#hedgedAfterMs !== undefined) {
+		// A request is hedged at most once, and an attempt may have failed when it was sent.
+		if (this.#hedgedAfterMs !== undefined || !openAttempts.has(attempt)) {
 			return;
 		}
 
@@ -171,7 +173,7 @@
 		const {admitted: {route}, context: {timers}, openAttempts, expectedMs} = this.options;
 		const {sentAtMs, headAtMs, exchange} = attempt;
 		if (attempt !== this.#hedge) {
-			this.#winner = HedgeWinner.first;
+			this.#winner = attempt === this.#first ? HedgeWinner.first : HedgeWinner.none;
 			if (this.isRepeatable && headAtMs !== undefined && exchange.head!.status < 500) {
 				this.hedging.responseTimes.add(route.name, headAtMs - sentAtMs);
 			}
--- a/packages/gateway/src/hedged-requests.test.ts
+++ b/packages/gateway/src/hedged-requests.test.ts
@@ -37,7 +37,7 @@
 async function startWarm(t: ExecutionContext, onArrival: (arrival: number, ...parameters: Parameters<RequestListener>) => void, {serverCount = 3, slots = 100, changes = {}, warmUpPath = '/check/1', warmUps = warmUpCount, ...options}: SetupOptions = {}): Promise<Setup> {
 	const store = storeWith(configuration(1, {
 		routes: [route({timeoutMs: 6000, ...changes}), route({
-			name: 'reserve', pathPrefix: '/reserve/', isRepeatable: false, timeoutMs: 6000,
+			name: 'reserve', pathPrefix: '/reserve/', isRepeatable: false, timeoutMs: 6000, targetMs: 3000,
 		})],
 		services: [{
 			name: 'stock', healthPath: '/health', maxConnections: 4000, coldStartMs: 3000, coldRatePerS: 6,
@@ -144,6 +144,26 @@
 	t.like(line(), {hedgeWinner: 'none', attempts: 2});
 });
 
+test.serial('a request whose two attempts fail is retried if its route allows three', async t => {
+	// Guards against a log that names the first server as the one that was answered from.
+	let failFirst: (() => void) | undefined;
+	const {call, arrivals, line} = await startWarm(t, (arrival, socket, request) => {
+		if (arrival === 1) {
+			failFirst = () => {
+				socket.destroy();
+			};
+		} else if (arrival === 2) {
+			socket.destroy();
+			failFirst!();
+		} else {
+			answerOk(socket, request);
+		}
+	}, {changes: {maxAttempts: 3}});
+	t.is(await statusOf(call('/check/slow', slow)), 200);
+	t.is(arrivals(), 3);
+	t.like(line(), {hedgeWinner: 'none', attempts: 3});
+});
+
 test.serial('the first attempt goes on when the second server rejects the hedged request', async t => {
 	// Guards against a refusal that reaches the caller while its request still runs, and against further hedged requests to servers that are full.
 	let answerFirst: (() => void) | undefined;
@@ -237,7 +257,7 @@
 		} else if (arrival === 2) {
 			answerOk(socket, request);
 		} else {
-			setTimeout(answerOk, 300, socket, request);
+			setTimeout(answerOk, 700, socket, request);
 		}
 	});
 	t.is(await statusOf(call('/check/slow')), 200);
