Accept a true refusal in the test of invalid statuses on a busy machine

The test now checks that: with 503 the server must not have received the request. Two tests of peers waited for a second connection that a timed-out call had not opened; they now call until the server has seen two, ten times at most.

--- a/packages/gateway/src/invalid-statuses.test.ts
+++ b/packages/gateway/src/invalid-statuses.test.ts
@@ -217,10 +217,13 @@
 		const address = await server.listen();
 		const client = new PeerClient();
 		t.teardown(async () => client.close());
-		await t.throwsAsync(client.readMembers(address), {any: true});
-		await t.throwsAsync(client.readMembers(address), {any: true});
-		await waitUntil(() => server.closedConnections === 2);
+		// A call whose connection times out on a busy machine reaches no server.
+		for (let call = 0; call < 10 && connections.size < 2; call++) {
+			await t.throwsAsync(client.readMembers(address), {any: true});
+		}
+
 		t.is(connections.size, 2);
+		await waitUntil(() => server.closedConnections === 2);
 	});
 }
 
@@ -243,12 +246,15 @@
 	let form = forms['with a length'];
 	let passedCount = 0;
 	let failedCount = 0;
+	let receivedCount = 0;
 	const {settings} = await startWith(t, (socket, request) => {
+		receivedCount++;
 		form.respond(socket, `${statusLine}\r\n`, fieldsFor(request));
 	}, 600);
 	await fc.assert(fc.asyncProperty(statusLineArbitrary, fc.constantFrom(...Object.values(forms).filter(({isSecond}) => isSecond !== true)), async (line, nextForm) => {
 		statusLine = line;
 		form = nextForm;
+		receivedCount = 0;
 		// Unlike `fetch`, this client passes on every status.
 		const {statusCode, headers, body} = await request(`http://${settings.listen.entry}/check/1`, {method: form.method, headers: {'test-key': 'key-acme'}, body: form.method === 'HEAD' ? null : 'x'});
 		const text = await body.text();
@@ -262,7 +268,8 @@
 		} else {
 			failedCount++;
 			t.notRegex(text, /evil/, line);
-			t.true([502, 504].includes(statusCode), `${line}: ${statusCode}`);
+			// On a busy machine no connection to the server may be opened in time; then the request was not sent.
+			t.true([502, 504].includes(statusCode) || (statusCode === 503 && receivedCount === 0), `${line}: ${statusCode}, received ${receivedCount} times`);
 		}
 	}), {numRuns: Number(runs), seed: seed === undefined ? undefined : Number(seed)});
 	t.true(passedCount > 0 && failedCount > 0, `${passedCount} passed on, ${failedCount} not`);
