--- a/packages/gateway/src/invalid-statuses.test.ts
+++ b/packages/gateway/src/invalid-statuses.test.ts
@@ -223,7 +223,7 @@
 		}
 
 		t.is(connections.size, 2);
-		await waitUntil(() => server.closedConnections === 2);
+		await waitUntil(() => [...connections].every(({destroyed}) => destroyed));
 	});
 }
 
