--- a/packages/soak/src/backends.ts
+++ b/packages/soak/src/backends.ts
@@ -12,7 +12,7 @@
 /** Time for which every other server that is replaced says that it is leaving only in its answers, in milliseconds; longer than VMs may still send to it after that. */
 const leavingByAnswersMs = 4500;
 
-type RunningServer = {id: string; readonly failureDomain: string; standIn: FakePlatformServer; relay: TcpRelay; isDraining: boolean};
+type RunningServer = {id: string; readonly failureDomain: string; readonly startedAtMs: number; standIn: FakePlatformServer; relay: TcpRelay; isDraining: boolean};
 
 /** Backend servers with a relay in front of each. */
 export class Backends {
@@ -23,6 +23,8 @@
 	readonly saidLeavingAtMs = new Map<string, number>();
 	readonly domainOf = new Map<string, string>();
 	readonly #running: RunningServer[] = [];
+	/** Servers with an object in the store, and whether it says that they are draining. */
+	readonly #written = new Map<RunningServer, boolean>();
 	#count = 0;
 
 	constructor(private readonly options: {readonly timers: TimerService; readonly store: FakePlatformStore; readonly service: string}) {}
@@ -57,11 +59,26 @@
 		const next = await this.#start(old.failureDomain);
 		await timers.sleep(drainMs);
 		store.remove(StoreKind.servers, old.id);
+		this.#written.delete(old);
 		this.#running.splice(this.#running.indexOf(old), 1, next);
 		old.standIn.close();
 		await old.relay.close();
 	}
 
+	/** Writes the objects again after the store was restored from a copy; those of servers that have left expire. */
+	rewrite(): void {
+		for (const [server, isDraining] of this.#written) {
+			this.#writeObject(server, isDraining);
+		}
+
+		const ids = new Set([...this.#written.keys()].map(({id}) => id));
+		for (const id of this.domainOf.keys()) {
+			if (!ids.has(id)) {
+				this.options.store.remove(StoreKind.servers, id);
+			}
+		}
+	}
+
 	async end(): Promise<void> {
 		for (const {standIn, relay} of this.#running) {
 			standIn.close();
@@ -81,16 +98,18 @@
 		const relay = await startTcpRelay(await standIn.listen());
 		this.domainOf.set(id, failureDomain);
 		const running = {
-			id, failureDomain, standIn, relay, isDraining: false,
+			id, failureDomain, startedAtMs: Date.now(), standIn, relay, isDraining: false,
 		};
 		this.#writeObject(running, false);
 		return running;
 	}
 
-	#writeObject({id, failureDomain, relay}: RunningServer, isDraining: boolean): void {
+	#writeObject(server: RunningServer, isDraining: boolean): void {
 		const {store, service} = this.options;
+		const {id, failureDomain, relay, startedAtMs} = server;
+		this.#written.set(server, isDraining);
 		store.set(StoreKind.servers, id, serverObject({
-			service, address: relay.address, failureDomain, slots, isDraining,
+			service, address: relay.address, failureDomain, slots, isDraining, startedAtMs,
 		}));
 	}
 }
--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -12,6 +12,9 @@
 const greedyCallerCount = 20;
 const greedyPauseMs = 60;
 
+/** Time after a restore of the store in which operators and servers write again what they had written, in milliseconds; servers whose entries are missing are kept for 1.9 s. */
+const rewriteDelayMs = 1200;
+
 type FaultInjectorOptions = {
 	readonly timers: TimerService;
 	readonly store: FakePlatformStore;
@@ -81,6 +84,10 @@
 				return;
 			}
 
+			case FaultKind.storeRestored: {
+				return this.#restoreStore(durationMs);
+			}
+
 			case FaultKind.serverReset: {
 				return this.#applyPathFault(this.options.backends.relayOf(target), PathFault.reset, durationMs);
 			}
@@ -131,6 +138,18 @@
 		faults.end(fault);
 	}
 
+	/** Restores the store from a copy. That is no fault of the VMs: all guarantees hold meanwhile. */
+	async #restoreStore(copyAgeMs: number): Promise<void> {
+		const {store, timers, operator, backends} = this.options;
+		const copy = store.copy();
+		await timers.sleep(copyAgeMs);
+		store.restore(copy);
+		operator.onRestore();
+		await timers.sleep(rewriteDelayMs);
+		operator.rewrite();
+		backends.rewrite();
+	}
+
 	async #takeStoreDown(durationMs: number): Promise<void> {
 		const fromMs = this.options.timers.nowMs();
 		this.#activeStoreOutages++;
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -1,7 +1,7 @@
 import {type ServerRequestEvent} from '@fescuewick/platform/stand-ins';
 
 /** A time span, in milliseconds of the soak's clock. */
-export type TimeSpan = {readonly fromMs: number; readonly untilMs: number};
+export type TimeSpan = {readonly fromMs: number; untilMs: number};
 
 /** One request as observed by its caller. */
 export type ObservedRequest = {
--- a/packages/soak/src/operator.ts
+++ b/packages/soak/src/operator.ts
@@ -21,6 +21,9 @@
 	readonly withdrawnAtMs = new Map<string, number>();
 	readonly evacuations = new Map<string, TimeSpan[]>();
 	#version = 0;
+	/** Evacuations in progress, and those that a restore of the store may have interrupted. */
+	readonly #active = new Set<TimeSpan[]>();
+	#interrupted: TimeSpan[][] = [];
 	readonly #keys = new Map(rateLimits.map(({workspace}) => [workspace, {
 		current: `key-${workspace}-1`, previous: `key-${workspace}-1`, count: 1, changedAtMs: Number.NEGATIVE_INFINITY,
 	}]));
@@ -36,8 +39,45 @@
 
 	/** Writes the next version of the configuration. */
 	publish(): void {
+		this.#version++;
+		this.#writeConfiguration();
+	}
+
+	/** Records that the store was restored from a copy, by which evacuations may be lost. */
+	onRestore(): void {
+		const nowMs = this.options.timers.nowMs();
+		for (const spans of this.evacuations.values()) {
+			const last = spans.at(-1);
+			if (last?.untilMs === Number.POSITIVE_INFINITY) {
+				last.untilMs = nowMs;
+				this.#interrupted.push(spans);
+			}
+		}
+	}
+
+	/** Writes again what the restored store may lack, and removes what it lists again. */
+	rewrite(): void {
+		const {timers, store} = this.options;
+		this.#writeConfiguration();
+		for (const spans of this.#interrupted) {
+			if (this.#active.has(spans) && spans.at(-1)!.untilMs !== Number.POSITIVE_INFINITY) {
+				spans.push({fromMs: timers.nowMs(), untilMs: Number.POSITIVE_INFINITY});
+			}
+		}
+
+		this.#interrupted = [];
+		for (const [failureDomain, spans] of this.evacuations) {
+			if (this.#active.has(spans)) {
+				store.set(StoreKind.evacuations, failureDomain, {});
+			} else {
+				store.remove(StoreKind.evacuations, failureDomain);
+			}
+		}
+	}
+
+	#writeConfiguration(): void {
 		this.options.store.set(StoreKind.configuration, 'main', configurationObject({
-			version: ++this.#version, service, host, timeoutMs, workspaces: rateLimits.map(({workspace, ratePerS, burst}) => ({
+			version: this.#version, service, host, timeoutMs, workspaces: rateLimits.map(({workspace, ratePerS, burst}) => ({
 				name: workspace, key: this.#keys.get(workspace)!.current, ratePerS, burst,
 			})),
 		}));
@@ -61,15 +101,16 @@
 		const spans = this.evacuations.get(failureDomain) ?? [];
 		this.evacuations.set(failureDomain, spans);
 		const fromMs = timers.nowMs();
-		if (spans.some(({untilMs}) => untilMs > fromMs)) {
+		if (this.#active.has(spans)) {
 			return;
 		}
 
-		const span = {fromMs, untilMs: Number.POSITIVE_INFINITY};
-		spans.push(span);
+		this.#active.add(spans);
+		spans.push({fromMs, untilMs: Number.POSITIVE_INFINITY});
 		store.set(StoreKind.evacuations, failureDomain, {});
 		await timers.sleep(durationMs);
 		store.remove(StoreKind.evacuations, failureDomain);
-		span.untilMs = timers.nowMs();
+		this.#active.delete(spans);
+		spans.at(-1)!.untilMs = Math.min(spans.at(-1)!.untilMs, timers.nowMs());
 	}
 }
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -13,6 +13,8 @@
 	storeSlow = 'store-slow',
 	storeDown = 'store-down',
 	storeCompacted = 'store-compacted',
+	/** The store is restored from a copy that is as old as the fault lasts. */
+	storeRestored = 'store-restored',
 	serverReset = 'server-reset',
 	serverSilent = 'server-silent',
 	serverSlow = 'server-slow',
@@ -44,6 +46,7 @@
 	[FaultKind.storeSlow]: 1,
 	[FaultKind.storeDown]: 1,
 	[FaultKind.storeCompacted]: 1,
+	[FaultKind.storeRestored]: 2,
 	[FaultKind.serverReset]: 2,
 	[FaultKind.serverSilent]: 2,
 	[FaultKind.serverSlow]: 1,
--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -12,8 +12,8 @@
 
 /** Duration of the faults in the short run in CI, in milliseconds. */
 const shortRunMs = 15_000;
-/** Seed of the short run; its faults include a killed, a stopped and a paused VM. */
-const shortRunSeed = 3;
+/** Seed of the short run; its faults include a killed, a stopped and a paused VM, and a store that is restored from a copy. */
+const shortRunSeed = 7;
 
 // Guards against violations of the guarantees to callers and backend servers while processes end and network paths fail.
 test.serial('soak: a short run under seeded faults violates no guarantee', async t => {
