Add a benchmark of the choice of a server for a request

npm run capacity -- placement measures decisions a second at 172 and 1,900 servers, with and without an affinity key. The fixture of a placer without a store or network is shared with tests, as @fescuewick/gateway/testing.

--- a/packages/bench/src/capacity/main.ts
+++ b/packages/bench/src/capacity/main.ts
@@ -10,6 +10,7 @@
 import {measureMembers} from './members.js';
 import {type Measurement, type Section} from './measure.js';
 import {measureOrders} from './orders.js';
+import {measurePlacement} from './placement.js';
 import {measureRelay} from './relay.js';
 import {renderSections} from './report.js';
 import {measureShares} from './shares.js';
@@ -28,6 +29,7 @@
 	orders: measureOrders,
 	snapshots: measureSnapshots,
 	entry: measureEntry,
+	placement: measurePlacement,
 };
 
 const program = new Command('capacity')
--- /dev/null
+++ b/packages/gateway/src/testing/index.ts
@@ -0,0 +1,2 @@
+export {type Backend} from '../placement/backend.js';
+export * from './placer-fixture.js';
