Choose the fastest server where servers report how slow their machines are

The fourth figure of the reported load is decoded into a factor and kept with its age for 0.6 s. A request without an affinity key goes to the free server with the least expected time if one of them reported the factor lately.

--- a/packages/gateway/src/placement/backend.test.ts
+++ b/packages/gateway/src/placement/backend.test.ts
@@ -160,3 +160,25 @@
 	// Slots, the queue allowed at the first server of an object, and one request from each VM before it knows of the others' requests.
 	t.true(maxInFirstSecond <= (6 * 1.5) + 11, `${maxInFirstSecond}`);
 });
+
+test('a reported slowness counts less with its age and is forgotten after the time for which it holds', t => {
+	// Guards against a server that is avoided, or preferred, because of what its machine did a second ago.
+	const backend = createBackend();
+	t.is(backend.slowness(0), undefined);
+	backend.recordLoad({running: 1, waiting: 0, slowness: 2.5}, 1000);
+	t.is(backend.slowness(1000), 2.5);
+	t.is(backend.slowness(1300), 1.75);
+	t.true(backend.slowness(1599)! < 1.01);
+	t.is(backend.slowness(1600), undefined);
+});
+
+test('a slowness is forgotten when the server reports none or restarts', t => {
+	// Guards against a choice by a figure that the server no longer tells.
+	const backend = createBackend();
+	backend.recordLoad({running: 1, waiting: 0, slowness: 2.5}, 1000);
+	backend.recordLoad({running: 1, waiting: 0}, 1100);
+	t.is(backend.slowness(1100), undefined);
+	backend.recordLoad({running: 1, waiting: 0, slowness: 2.5}, 1200);
+	backend.update({record: backendRecord('s1', {slots: 9, startedAtMs: 2}), receivedAtMs: 1200});
+	t.is(backend.slowness(1200), undefined);
+});
--- a/packages/gateway/src/placement/backend.ts
+++ b/packages/gateway/src/placement/backend.ts
@@ -44,7 +44,12 @@
 }
 
 /** Running and queued requests that a backend server reported with an answer. */
-export type ReportedLoad = {readonly running: number; readonly waiting: number};
+export type ReportedLoad = {
+	readonly running: number;
+	readonly waiting: number;
+	/** Duration of work there at this moment, as a multiple of the usual one; undefined if the server does not report it. */
+	readonly slowness?: number;
+};
 
 const conditionChart = chart as Chart;
 /** Window of the failure rate. */
@@ -61,6 +66,8 @@
 const latencyRatioTtlMs = 2500;
 /** Least slots of a server with a limit; keeps ratios of requests to slots finite. */
 const minUsableSlots = 0.1;
+/** How long a reported slowness holds; servers on shared machines change theirs about as often. */
+const slownessTtlMs = 600;
 /** How long a server counts as full after it shed a request. */
 const shedBackoffMs = 150;
 
@@ -77,6 +84,8 @@
 	#coldUntilMs = 0;
 	readonly #peerLoad = new PeerLoadEstimator();
 	#fullUntilMs = 0;
+	#slowness: number | undefined;
+	#slownessAtMs = 0;
 	#outcomes: Array<{atMs: number; isFailure: boolean}> = [];
 	#latencyRatio = 1;
 	#latencyRatioCount = 0;
@@ -155,6 +164,7 @@
 			this.#outcomes = [];
 			this.#latencyRatioCount = 0;
 			this.#peerLoad.reset();
+			this.#slowness = undefined;
 		}
 
 		if (known.record !== this.#known.record) {
@@ -243,8 +253,16 @@
 	}
 
 	/** Records the load reported with an answer; call it after removing the answered request from `inFlight`. */
-	recordLoad({running, waiting}: ReportedLoad, nowMs: number): void {
+	recordLoad({running, waiting, slowness}: ReportedLoad, nowMs: number): void {
 		this.#peerLoad.report(Math.max(0, running + waiting - this.inFlight - 1), nowMs);
+		this.#slowness = slowness;
+		this.#slownessAtMs = nowMs;
+	}
+
+	/** Expected duration of work there as a multiple of the usual one, from its last report; the report counts less with its age. Undefined without a report that still holds. */
+	slowness(nowMs: number): number | undefined {
+		const ageMs = nowMs - this.#slownessAtMs;
+		return this.#slowness === undefined || ageMs >= slownessTtlMs ? undefined : 1 + ((this.#slowness - 1) * (1 - (ageMs / slownessTtlMs)));
 	}
 
 	/** Records that the server rejected a request without running it. */
--- a/packages/gateway/src/placement/choose-backend.ts
+++ b/packages/gateway/src/placement/choose-backend.ts
@@ -4,6 +4,8 @@
 	/** Estimated number of requests at the server. */
 	readonly load: number;
 	readonly slots: number;
+	/** Expected duration of work there as a multiple of the usual one; undefined unless the server reported it lately. */
+	readonly slowness?: number;
 	/** Whether its failure rate or latency is so high that it is used only if no other server can accept the request. */
 	readonly isDeprioritized: boolean;
 	/** Whether a connection is available and the server is warm, or this VM has cold allowance left for it. */
@@ -17,6 +19,8 @@
 	/** Later in the order, because the servers before it were full or deprioritized. */
 	next = 'next',
 	leastLoaded = 'least-loaded',
+	/** Least expected time, where servers report how slow their machines are. */
+	fastest = 'fastest',
 }
 
 /** A chosen server. */
@@ -65,3 +69,31 @@
 
 	return leastLoaded && {server: leastLoaded, reason: ChoiceReason.leastLoaded};
 }
+
+/** Expected slowness of a server that has not reported it lately: machines that are shared are 2.5 times as slow for 15 % of the time. Higher than that of a server that has just reported none, whose load is also known better. */
+const unknownSlowness = 1.2;
+
+/**
+Chooses the server with the least expected time for a request without an affinity key, where servers report how slow their machines are.
+
+Handles several VMs that learn of a server only from its answers to their own requests. The search starts at `start`, a fraction in [0, 1) that differs between VMs and requests, because VMs that all preferred the first of equal servers would send to the same one.
+*/
+export function chooseFastest<Server extends Candidate>(servers: readonly Server[], start: number): Choice<Server> | undefined {
+	const first = Math.floor(start * servers.length);
+	let fastest: Server | undefined;
+	let leastTime = Number.POSITIVE_INFINITY;
+	for (let step = 0; step < servers.length; step++) {
+		const server = servers[(first + step) % servers.length];
+		if (!server.canAccept || server.load >= server.slots || (server.isDeprioritized && fastest?.isDeprioritized === false)) {
+			continue;
+		}
+
+		const time = (server.slowness ?? unknownSlowness) * (1 + (server.load / server.slots));
+		if (time < leastTime || (fastest?.isDeprioritized === true && !server.isDeprioritized)) {
+			fastest = server;
+			leastTime = time;
+		}
+	}
+
+	return fastest && {server: fastest, reason: ChoiceReason.fastest};
+}
--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -5,7 +5,7 @@
 import {Backend, ConditionEvent} from './backend.js';
 import {BackendStatements} from './backend-statements.js';
 import {
-	chooseByAffinity, chooseLeastLoaded, type Candidate, type ChoiceReason,
+	chooseByAffinity, chooseFastest, chooseLeastLoaded, type Candidate, type Choice, type ChoiceReason,
 } from './choose-backend.js';
 import {
 	RegionPlan, type ShiftedFractions, type RegionPlanOptions, type ServerLoad,
@@ -20,6 +20,8 @@
 const maxCachedOrders = 4096;
 /** Fraction of the limit on shifts between regions that may be used by spillover, requests that find no capacity in their region. */
 const spilloverFraction = 0.25;
+/** Step of the start of the search for the fastest server; the golden ratio spreads the starts evenly over the servers. */
+const searchStartStep = 0.618_033_988_75;
 
 /** Shortest time after which queued requests are retried because a limit allows another request, in milliseconds. */
 const minLimitRetryMs = 50;
@@ -95,12 +97,15 @@
 	readonly #spilloverLimiters = new Map<string, SpilloverLimiter>();
 	readonly #sharerRanks: SharerRanks;
 	#isLimitRetryScheduled = false;
+	/** Where the search for the fastest server starts, as a fraction of the servers; VMs start in different places. */
+	#searchStart: number;
 	/** What servers said about themselves. */
 	readonly statements: BackendStatements;
 	readonly #plan: RegionPlan;
 
 	constructor(private readonly options: PlacerOptions) {
 		this.#plan = new RegionPlan(options);
+		this.#searchStart = hashFraction(options.vm);
 		this.#sharerRanks = new SharerRanks(options.vm);
 		this.statements = new BackendStatements({...options, backendOf: id => this.#backends.get(id)});
 		options.state.events.on('backends', () => {
@@ -199,13 +204,23 @@
 	#choose(backends: readonly Backend[], {service, affinityKey}: PlacementRequest): Omit<Placement, 'isRemote'> | undefined {
 		const nowMs = this.options.timers.nowMs();
 		const choice = affinityKey === undefined
-			? chooseLeastLoaded(backends.map(backend => this.#candidateOf(backend, nowMs)))
+			? this.#chooseAny(backends.map(backend => this.#candidateOf(backend, nowMs)))
 			: chooseByAffinity(this.#candidatesInOrder(backends, this.#orderOf(service, affinityKey), nowMs));
 		return choice && {
 			backend: choice.server.backend, reason: choice.reason, load: choice.server.load, limitPerS: choice.server.backend.limitPerS(nowMs),
 		};
 	}
 
+	/** Chooses among all servers; how slow their machines are counts only if one of them reported it lately. */
+	#chooseAny(candidates: readonly BackendCandidate[]): Choice<BackendCandidate> | undefined {
+		if (candidates.every(({slowness}) => slowness === undefined)) {
+			return chooseLeastLoaded(candidates);
+		}
+
+		this.#searchStart = (this.#searchStart + searchStartStep) % 1;
+		return chooseFastest(candidates, this.#searchStart);
+	}
+
 	/** Evaluates the servers lazily, because a request usually goes to the first of hundreds. */
 	* #candidatesInOrder(backends: readonly Backend[], order: readonly string[], nowMs: number): Generator<BackendCandidate> {
 		const byId = new Map(backends.map(backend => [backend.id, backend]));
@@ -223,6 +238,7 @@
 			backend,
 			load: backend.load(nowMs, () => this.#senderCountOf(backend)),
 			slots: backend.slots,
+			slowness: backend.slowness(nowMs),
 			isDeprioritized: backend.isDeprioritized(nowMs),
 			canAccept: backend.connections.canAcquire() && (!backend.isCold(nowMs) || this.#canAcceptCold(backend, nowMs)) && this.#limitWaitMs(backend, nowMs) === 0,
 		};
--- a/packages/gateway/src/testing/placer-fixture.ts
+++ b/packages/gateway/src/testing/placer-fixture.ts
@@ -9,19 +9,24 @@
 
 /** Service of the servers of a placer fixture. */
 export const fixtureService = 'stock';
+/** Largest change of the fraction of requests that leave the region. */
+export const fixtureShiftMost = 0.15;
 
 export type PlacerFixtureOptions = {
 	readonly timers: TimerService;
+	readonly vm?: string;
 	/** Region of the VM. */
 	readonly region: string;
 	/** Region and slots of each server. */
 	readonly servers: ReadonlyArray<Pick<BackendRecord, 'id' | 'slots'> & {readonly region: string}>;
+	/** Regions whose servers are evacuated. */
+	readonly evacuated?: ReadonlySet<string>;
 	/** VMs that send to the servers of a region. */
 	readonly limitSharersIn?: (region: string) => readonly string[];
 };
 
 /** A placer of one VM whose servers are known, without a store or network; regions have the names of failure domains. */
-export function createPlacerFixture({timers, region, servers, limitSharersIn = () => ['vm-1', 'vm-2']}: PlacerFixtureOptions): Placer {
+export function createPlacerFixture({timers, vm = 'vm-1', region, servers, evacuated = new Set(), limitSharersIn = () => ['vm-1', 'vm-2']}: PlacerFixtureOptions): Placer {
 	const handlers = new Map<string, () => void>();
 	const state = {
 		backends: new Map(servers.map(({id, slots, region: failureDomain}) => [id, {record: backendRecord(id, {slots, failureDomain}), receivedAtMs: timers.nowMs()}])),
@@ -30,7 +35,7 @@
 				handlers.set(name, handler);
 			},
 		},
-		isEvacuated: () => false,
+		isEvacuated: (failureDomain: string) => evacuated.has(failureDomain),
 	} as unknown as FleetState;
 	const placer = new Placer({
 		state,
@@ -39,8 +44,8 @@
 		region,
 		regions: [...new Set(servers.map(server => server.region))],
 		regionOf: failureDomain => failureDomain,
-		bounds: () => ({shiftMost: 0.15, coldOvershoot: 1.5, coldSlack: 2}),
-		vm: 'vm-1',
+		bounds: () => ({shiftMost: fixtureShiftMost, coldOvershoot: 1.5, coldSlack: 2}),
+		vm,
 		limitSharersIn,
 		maxAnswerHeadBytes: 16_384,
 		onSlotAvailable: () => undefined,
