Make the choice of a server cheaper

Servers are listed by service and region when they change, and cached orders hold servers, so that a request for an object no longer evaluates every server of its service. Candidates evaluate connections, limits and failures only if they may be chosen.

Property tests compare decisions, counted failures and load estimates with the former code.

--- a/packages/gateway/src/placement/backend.test.ts
+++ b/packages/gateway/src/placement/backend.test.ts
@@ -1,8 +1,10 @@
 import test from 'ava';
+import fc from 'fast-check';
 import {type ConnectionPool} from '@fescuewick/entry/http';
 import {backendRecord} from '../testing/fixtures.js';
 import {Backend} from './backend.js';
 import {chooseByAffinity} from './choose-backend.js';
+import {PeerLoadEstimator} from './peer-load-estimator.js';
 
 function createBackend(id = 's1', slots = 9): Backend {
 	return new Backend({record: backendRecord(id, {slots}), receivedAtMs: 0}, 'north', {} as unknown as ConnectionPool);
@@ -182,3 +184,43 @@
 	backend.update({record: backendRecord('s1', {slots: 9, startedAtMs: 2}), receivedAtMs: 1200});
 	t.is(backend.slowness(1200), undefined);
 });
+
+test('a server is deprioritized by the outcomes of the last 3 s, however often they are asked for', t => {
+	// Guards against counts of outcomes that differ from the outcomes in the window, so that a server is avoided for good or its failures are not seen.
+	fc.assert(fc.property(fc.array(fc.record({afterMs: fc.oneof(fc.integer({min: 0, max: 300}), fc.integer({min: 0, max: 3500})), isFailure: fc.option(fc.boolean(), {nil: undefined})}), {maxLength: 60}), steps => {
+		const backend = createBackend();
+		const outcomes: Array<{atMs: number; isFailure: boolean}> = [];
+		let nowMs = 0;
+		for (const {afterMs, isFailure} of steps) {
+			nowMs += afterMs;
+			if (isFailure !== undefined) {
+				backend.recordOutcome(isFailure, undefined, nowMs);
+				outcomes.push({atMs: nowMs, isFailure});
+				continue;
+			}
+
+			const windowStartMs = nowMs - 3000;
+			const recent = outcomes.filter(({atMs}) => atMs > windowStartMs);
+			t.is(backend.isDeprioritized(nowMs), recent.length >= 4 && recent.filter(outcome => outcome.isFailure).length / recent.length > 0.25);
+		}
+	}));
+});
+
+test('the estimate of other VMs\' requests is the mean of the reports and the decaying difference to it', t => {
+	// Guards against a shortcut for idle servers that changes the estimate of others.
+	fc.assert(fc.property(fc.array(fc.record({afterMs: fc.integer({min: 0, max: 3000}), count: fc.integer({min: 0, max: 3}), inFlight: fc.integer({min: 0, max: 2})}), {minLength: 1, maxLength: 20}), reports => {
+		const estimator = new PeerLoadEstimator();
+		let atMs = 0;
+		let mean: number | undefined;
+		for (const {afterMs, count, inFlight} of reports) {
+			const newWeight = 1 - (0.5 ** (afterMs / 1000));
+			atMs += afterMs;
+			mean = mean === undefined ? count : mean + ((count - mean) * newWeight);
+			estimator.report(count, atMs);
+			for (const ageMs of [0, 150, 2000]) {
+				const keptMean = inFlight > 0 ? mean : mean * (0.5 ** (ageMs / 3000));
+				t.is(estimator.estimate(atMs + ageMs, {inFlight, senderCount: () => 5}), keptMean + ((count - mean) * (0.5 ** (ageMs / 400))));
+			}
+		}
+	}));
+});
--- a/packages/gateway/src/placement/backend.ts
+++ b/packages/gateway/src/placement/backend.ts
@@ -86,7 +86,9 @@
 	#fullUntilMs = 0;
 	#slowness: number | undefined;
 	#slownessAtMs = 0;
+	/** Outcomes within the window, oldest first, and the number of failures among them. */
 	#outcomes: Array<{atMs: number; isFailure: boolean}> = [];
+	#failureCount = 0;
 	#latencyRatio = 1;
 	#latencyRatioCount = 0;
 	#latencyRatioAtMs = 0;
@@ -162,6 +164,7 @@
 			this.apply(ConditionEvent.restarted);
 			this.#pausedUntilMs = Number.NEGATIVE_INFINITY;
 			this.#outcomes = [];
+			this.#failureCount = 0;
 			this.#latencyRatioCount = 0;
 			this.#peerLoad.reset();
 			this.#slowness = undefined;
@@ -259,6 +262,11 @@
 		this.#slownessAtMs = nowMs;
 	}
 
+	/** Whether its last report said how slow its machine is. */
+	get reportsSlowness(): boolean {
+		return this.#slowness !== undefined;
+	}
+
 	/** Expected duration of work there as a multiple of the usual one, from its last report; the report counts less with its age. Undefined without a report that still holds. */
 	slowness(nowMs: number): number | undefined {
 		const ageMs = nowMs - this.#slownessAtMs;
@@ -272,7 +280,9 @@
 
 	/** Records how a request ended; `latencyRatio` is its latency divided by the typical latency of its route over all servers. */
 	recordOutcome(isFailure: boolean, latencyRatio: number | undefined, nowMs: number): void {
+		this.#forgetOldOutcomes(nowMs);
 		this.#outcomes.push({atMs: nowMs, isFailure});
+		this.#failureCount += isFailure ? 1 : 0;
 		if (latencyRatio !== undefined) {
 			if (nowMs - this.#latencyRatioAtMs > latencyRatioTtlMs) {
 				this.#latencyRatio = 1;
@@ -291,11 +301,22 @@
 			return true;
 		}
 
-		if (this.#outcomes.length > 0 && this.#outcomes[0].atMs <= nowMs - outcomeWindowMs) {
-			this.#outcomes = this.#outcomes.filter(({atMs}) => atMs > nowMs - outcomeWindowMs);
+		// Most servers fail no request, and placing asks for each of them.
+		if (this.#failureCount === 0) {
+			return false;
+		}
+
+		this.#forgetOldOutcomes(nowMs);
+		return this.#outcomes.length >= minSamples && this.#failureCount / this.#outcomes.length > maxFailureRate;
+	}
+
+	/** Forgets the outcomes that have left the window. */
+	#forgetOldOutcomes(nowMs: number): void {
+		if (this.#outcomes.length === 0 || this.#outcomes[0].atMs > nowMs - outcomeWindowMs) {
+			return;
 		}
 
-		const failures = this.#outcomes.filter(({isFailure}) => isFailure).length;
-		return this.#outcomes.length >= minSamples && failures / this.#outcomes.length > maxFailureRate;
+		this.#outcomes = this.#outcomes.filter(({atMs}) => atMs > nowMs - outcomeWindowMs);
+		this.#failureCount = this.#outcomes.filter(({isFailure}) => isFailure).length;
 	}
 }
--- a/packages/gateway/src/placement/choose-backend.ts
+++ b/packages/gateway/src/placement/choose-backend.ts
@@ -56,18 +56,41 @@
 	return fallback;
 }
 
+/** Finds the least of a cost among the servers with a free slot that can accept a request; deprioritized servers count only if there is no other. The first of equal servers is taken. */
+class CheapestServer<Server extends Candidate> {
+	#preferred: Server | undefined;
+	#deprioritized: Server | undefined;
+	#preferredCost = Number.POSITIVE_INFINITY;
+	#deprioritizedCost = Number.POSITIVE_INFINITY;
+
+	/** Considers a server; it is evaluated only as far as it may be chosen. */
+	consider(server: Server, cost: number): void {
+		if (server.load >= server.slots || cost >= this.#preferredCost || !server.canAccept) {
+			return;
+		}
+
+		if (!server.isDeprioritized) {
+			this.#preferred = server;
+			this.#preferredCost = cost;
+		} else if (cost < this.#deprioritizedCost) {
+			this.#deprioritized = server;
+			this.#deprioritizedCost = cost;
+		}
+	}
+
+	get found(): Server | undefined {
+		return this.#preferred ?? this.#deprioritized;
+	}
+}
+
 /** Chooses the server with the lowest load per slot, for a request without an affinity key. */
 export function chooseLeastLoaded<Server extends Candidate>(servers: readonly Server[]): Choice<Server> | undefined {
-	const free = servers.filter(server => server.canAccept && server.load < server.slots);
-	const preferred = free.filter(server => !server.isDeprioritized);
-	let leastLoaded: Server | undefined;
-	for (const server of preferred.length > 0 ? preferred : free) {
-		if (leastLoaded === undefined || server.load / server.slots < leastLoaded.load / leastLoaded.slots) {
-			leastLoaded = server;
-		}
+	const cheapest = new CheapestServer<Server>();
+	for (const server of servers) {
+		cheapest.consider(server, server.load / server.slots);
 	}
 
-	return leastLoaded && {server: leastLoaded, reason: ChoiceReason.leastLoaded};
+	return cheapest.found && {server: cheapest.found, reason: ChoiceReason.leastLoaded};
 }
 
 /** Expected slowness of a server that has not reported it lately: machines that are shared are 2.5 times as slow for 15 % of the time. Higher than that of a server that has just reported none, whose load is also known better. */
@@ -80,20 +103,11 @@
 */
 export function chooseFastest<Server extends Candidate>(servers: readonly Server[], start: number): Choice<Server> | undefined {
 	const first = Math.floor(start * servers.length);
-	let fastest: Server | undefined;
-	let leastTime = Number.POSITIVE_INFINITY;
+	const cheapest = new CheapestServer<Server>();
 	for (let step = 0; step < servers.length; step++) {
 		const server = servers[(first + step) % servers.length];
-		if (!server.canAccept || server.load >= server.slots || (server.isDeprioritized && fastest?.isDeprioritized === false)) {
-			continue;
-		}
-
-		const time = (server.slowness ?? unknownSlowness) * (1 + (server.load / server.slots));
-		if (time < leastTime || (fastest?.isDeprioritized === true && !server.isDeprioritized)) {
-			fastest = server;
-			leastTime = time;
-		}
+		cheapest.consider(server, (server.slowness ?? unknownSlowness) * (1 + (server.load / server.slots)));
 	}
 
-	return fastest && {server: fastest, reason: ChoiceReason.fastest};
+	return cheapest.found && {server: cheapest.found, reason: ChoiceReason.fastest};
 }
--- a/packages/gateway/src/placement/peer-load-estimator.ts
+++ b/packages/gateway/src/placement/peer-load-estimator.ts
@@ -30,8 +30,10 @@
 		}
 
 		const ageMs = nowMs - this.#reportedAtMs;
-		const mean = inFlight > 0 ? this.#mean : this.#mean * (0.5 ** (ageMs / idleHalfLifeMs));
-		return mean + ((this.#lastCount - this.#mean) * (0.5 ** (ageMs / deviationHalfLifeMs)));
+		// Powers take most of the time of an estimate, which placing makes for each server; those of idle servers are multiplied by 0.
+		const mean = inFlight > 0 || this.#mean === 0 ? this.#mean : this.#mean * (0.5 ** (ageMs / idleHalfLifeMs));
+		const deviation = this.#lastCount - this.#mean;
+		return deviation === 0 ? mean : mean + (deviation * (0.5 ** (ageMs / deviationHalfLifeMs)));
 	}
 
 	/** Records the number of other VMs' requests derived from a report. */
--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -1,23 +1,26 @@
-import {hashFraction, rendezvousOrder} from '@fescuewick/core';
+import {hashFraction} from '@fescuewick/core';
 import {ConnectionPool} from '@fescuewick/entry/http';
 import {coldAllowancePerS} from '../limits/cold-allowance.js';
 import {serverLimitShare, SharerRanks, type LimitShare} from '../limits/server-limit.js';
 import {Backend, ConditionEvent} from './backend.js';
+import {BackendCandidate} from './backend-candidate.js';
 import {BackendStatements} from './backend-statements.js';
 import {
-	chooseByAffinity, chooseFastest, chooseLeastLoaded, type Candidate, type Choice, type ChoiceReason,
+	chooseByAffinity, chooseFastest, chooseLeastLoaded, type Choice,
 } from './choose-backend.js';
+import {PlacementFailure, type Placement, type PlacementRequest} from './placement.js';
 import {
 	RegionPlan, type ShiftedFractions, type RegionPlanOptions, type ServerLoad,
 } from './region-plan.js';
 import {type ServerStart} from './server-statements.js';
+import {ServiceBackends} from './service-backends.js';
 import {SpilloverLimiter} from './spillover-limiter.js';
 import {type RegionalDemand} from './slot-demand-meter.js';
 
+export * from './placement.js';
+
 /** Connect timeout for backend servers; several round trips between regions. */
 const connectTimeoutMs = 500;
-/** Capacity of the cache of rendezvous orders; the oldest half is evicted when it is full. */
-const maxCachedOrders = 4096;
 /** Fraction of the limit on shifts between regions that may be used by spillover, requests that find no capacity in their region. */
 const spilloverFraction = 0.25;
 /** Step of the start of the search for the fastest server; the golden ratio spreads the starts evenly over the servers. */
@@ -35,40 +38,6 @@
 	readonly coldSlack: number;
 };
 
-/** Inputs to the choice of a backend server for a request. */
-export type PlacementRequest = {
-	readonly service: string;
-	/** Object that the request concerns; undefined to choose the least loaded server. */
-	readonly affinityKey: string | undefined;
-	readonly homeRegions: readonly string[] | undefined;
-	/** The home region that the request is bound to; undefined without home regions. */
-	readonly boundRegion: string | undefined;
-	/** Region that steering assigned to the request; undefined for the VM's own. */
-	readonly region: string | undefined;
-	/** Ids of the servers that were tried already. */
-	readonly excluded: ReadonlySet<string>;
-};
-
-/** The chosen server for a request. */
-export type Placement = {
-	readonly backend: Backend;
-	readonly reason: ChoiceReason;
-	readonly load: number;
-	readonly isRemote: boolean;
-	/** Limit that the server named, in requests a second from all VMs; undefined without one. */
-	readonly limitPerS: number | undefined;
-};
-
-/** Why no server was chosen. */
-export enum PlacementFailure {
-	/** All servers that may run the request are full. */
-	full = 'full',
-	/** No server may run the request. */
-	none = 'none',
-	/** The region that the request is bound to does not admit its object now, and no other region may run the request. */
-	notAdmitted = 'not-admitted',
-}
-
 type PlacerOptions = Omit<RegionPlanOptions, 'bounds'> & {
 	readonly regionOf: (failureDomain: string) => string | undefined;
 	readonly bounds: () => PlacementBounds;
@@ -87,15 +56,17 @@
 	readonly onLimit: (start: ServerStart, limitPerS: number | undefined) => void;
 };
 
-type BackendCandidate = Candidate & {readonly backend: Backend};
-
 /** Tracks the backend servers and chooses one for each request. */
 export class Placer {
 	readonly #backends = new Map<string, Backend>();
-	readonly #byService = new Map<string, Backend[]>();
-	readonly #cachedOrders = new Map<string, string[]>();
+	readonly #byService = new ServiceBackends();
 	readonly #spilloverLimiters = new Map<string, SpilloverLimiter>();
 	readonly #sharerRanks: SharerRanks;
+	/** Whether a connection to a server is available and its limits let this VM send a request now. */
+	readonly #canAccept = (backend: Backend, nowMs: number): boolean => backend.connections.canAcquire()
+		&& (!backend.isCold(nowMs) || this.#canAcceptCold(backend, nowMs))
+		&& this.#limitWaitMs(backend, nowMs) === 0;
+
 	#isLimitRetryScheduled = false;
 	/** Where the search for the fastest server starts, as a fraction of the servers; VMs start in different places. */
 	#searchStart: number;
@@ -130,7 +101,7 @@
 	/** Total slots of the usable servers of a service in this region, as far as their limits let requests of `serviceMs` fill them. */
 	slotsInRegion(service: string, serviceMs: number): number {
 		const nowMs = this.options.timers.nowMs();
-		return this.#usable(service).reduce((sum, backend) => sum + (backend.region === this.options.region ? backend.usableSlots(nowMs, serviceMs) : 0), 0);
+		return this.#byService.inRegion(service, this.options.region).reduce((sum, backend) => sum + (this.#isUsable(backend) ? backend.usableSlots(nowMs, serviceMs) : 0), 0);
 	}
 
 	/** The region assigned to a request of this VM's callers; `random`, in [0, 1), is used for requests without an affinity key. */
@@ -142,11 +113,11 @@
 	/** Adapts the fractions of requests sent to other regions, and the fractions of objects admitted, to the demand in all regions. */
 	steer(demand: RegionalDemand, elapsedMs: number, peerFractions: ShiftedFractions | undefined): void {
 		const nowMs = this.options.timers.nowMs();
-		for (const service of this.#byService.keys()) {
+		for (const service of this.#byService.services) {
 			const loads = new Map<string, ServerLoad>();
-			for (const backend of this.#usable(service)) {
+			for (const backend of this.#byService.of(service).filter(backend => this.#isUsable(backend))) {
 				const {slots, requests} = loads.get(backend.region) ?? {slots: 0, requests: 0};
-				loads.set(backend.region, {slots: slots + backend.usableSlots(nowMs, this.options.typicalMs(service)), requests: requests + backend.load(nowMs, () => this.#senderCountOf(backend))});
+				loads.set(backend.region, {slots: slots + backend.usableSlots(nowMs, this.options.typicalMs(service)), requests: requests + this.#loadOf(backend, nowMs)});
 			}
 
 			this.#plan.update(service, {
@@ -163,57 +134,67 @@
 	/** Chooses the server for a request; the caller must send the request immediately. */
 	place(request: PlacementRequest): Placement | PlacementFailure {
 		const {region} = this.options;
-		const allowed = this.#usable(request.service).filter(backend => !request.excluded.has(backend.id) && request.homeRegions?.includes(backend.region) !== false);
-		if (allowed.length === 0) {
-			return PlacementFailure.none;
-		}
-
+		const {service, homeRegions, boundRegion} = request;
 		const isAdmitted = this.#plan.admits(request);
-		const admitted = isAdmitted ? allowed : allowed.filter(backend => backend.region !== request.boundRegion);
-		if (admitted.length === 0) {
-			return PlacementFailure.notAdmitted;
-		}
-
-		const assigned = request.region === undefined || request.region === region ? undefined : this.#choose(admitted.filter(backend => backend.region === request.region), request);
+		const isAllowed = (name: string) => homeRegions?.includes(name) !== false && (isAdmitted || name !== boundRegion);
+		const assigned = request.region === undefined || request.region === region ? undefined : this.#chooseInRegion(request.region, request, isAllowed);
 		if (assigned !== undefined) {
 			return {...assigned, isRemote: true};
 		}
 
-		const local = admitted.filter(backend => backend.region === region);
-		const choice = this.#choose(local, request);
-		if (choice !== undefined) {
-			return {...choice, isRemote: false};
+		const local = this.#chooseInRegion(region, request, isAllowed);
+		if (local !== undefined) {
+			return {...local, isRemote: false};
 		}
 
-		const limiter = this.#spilloverLimiterOf(request.service);
+		const limiter = this.#spilloverLimiterOf(service);
+		const hasLocal = isAllowed(region) && this.#byService.inRegion(service, region).some(backend => this.#isEligible(backend, request));
 		// With no server in the region all requests have to leave it, so the spillover limit does not apply.
-		const maySpillOver = local.length === 0 || limiter.hasCredit;
-		const remote = maySpillOver ? this.#choose(admitted.filter(backend => backend.region !== region), request) : undefined;
+		const maySpillOver = !hasLocal || limiter.hasCredit;
+		const remote = maySpillOver ? this.#choose(this.#byService.of(service), request, name => name !== region && isAllowed(name)) : undefined;
 		if (remote === undefined) {
-			this.#scheduleLimitRetry(admitted);
-			return PlacementFailure.full;
+			return this.#failureOf(request, isAllowed);
 		}
 
-		if (local.length > 0) {
+		if (hasLocal) {
 			limiter.recordSpillover();
 		}
 
 		return {...remote, isRemote: true};
 	}
 
-	#choose(backends: readonly Backend[], {service, affinityKey}: PlacementRequest): Omit<Placement, 'isRemote'> | undefined {
+	/** Why no server was chosen for a request; queued requests are tried again when the limit of a server allows it. */
+	#failureOf(request: PlacementRequest, isAllowed: (region: string) => boolean): PlacementFailure {
+		const eligible = this.#byService.of(request.service).filter(backend => request.homeRegions?.includes(backend.region) !== false && this.#isEligible(backend, request));
+		const allowed = eligible.filter(({region}) => isAllowed(region));
+		if (allowed.length === 0) {
+			return eligible.length === 0 ? PlacementFailure.none : PlacementFailure.notAdmitted;
+		}
+
+		this.#scheduleLimitRetry(allowed);
+		return PlacementFailure.full;
+	}
+
+	#chooseInRegion(region: string, request: PlacementRequest, isAllowed: (region: string) => boolean): Omit<Placement, 'isRemote'> | undefined {
+		return isAllowed(region) ? this.#choose(this.#byService.inRegion(request.service, region), request, name => name === region) : undefined;
+	}
+
+	/** Chooses among servers of the allowed regions. With an affinity key, all servers of the service are considered in the order of the key. */
+	#choose(backends: readonly Backend[], request: PlacementRequest, isAllowed: (region: string) => boolean): Omit<Placement, 'isRemote'> | undefined {
 		const nowMs = this.options.timers.nowMs();
+		const {service, affinityKey} = request;
 		const choice = affinityKey === undefined
-			? this.#chooseAny(backends.map(backend => this.#candidateOf(backend, nowMs)))
-			: chooseByAffinity(this.#candidatesInOrder(backends, this.#orderOf(service, affinityKey), nowMs));
+			? this.#chooseAny(backends, request, isAllowed)
+			: chooseByAffinity(this.#candidatesInOrder(this.#byService.orderOf(service, affinityKey), request, isAllowed));
 		return choice && {
 			backend: choice.server.backend, reason: choice.reason, load: choice.server.load, limitPerS: choice.server.backend.limitPerS(nowMs),
 		};
 	}
 
-	/** Chooses among all servers; how slow their machines are counts only if one of them reported it lately. */
-	#chooseAny(candidates: readonly BackendCandidate[]): Choice<BackendCandidate> | undefined {
-		if (candidates.every(({slowness}) => slowness === undefined)) {
+	/** Chooses among all servers; how slow their machines are counts only if one of them reports it. */
+	#chooseAny(backends: readonly Backend[], request: PlacementRequest, isAllowed: (region: string) => boolean): Choice<BackendCandidate> | undefined {
+		const candidates = this.#freeCandidates(backends, request, isAllowed);
+		if (!backends.some(({reportsSlowness}) => reportsSlowness)) {
 			return chooseLeastLoaded(candidates);
 		}
 
@@ -222,26 +203,33 @@
 	}
 
 	/** Evaluates the servers lazily, because a request usually goes to the first of hundreds. */
-	* #candidatesInOrder(backends: readonly Backend[], order: readonly string[], nowMs: number): Generator<BackendCandidate> {
-		const byId = new Map(backends.map(backend => [backend.id, backend]));
-		for (const id of order) {
-			const backend = byId.get(id);
-			if (backend !== undefined) {
-				yield this.#candidateOf(backend, nowMs);
+	* #candidatesInOrder(order: readonly Backend[], request: PlacementRequest, isAllowed: (region: string) => boolean): Generator<BackendCandidate> {
+		const nowMs = this.options.timers.nowMs();
+		for (const backend of order) {
+			if (isAllowed(backend.region) && this.#isEligible(backend, request)) {
+				yield new BackendCandidate(backend, this.#loadOf(backend, nowMs), nowMs, this.#canAccept);
 			}
 		}
 	}
 
-	#candidateOf(backend: Backend, nowMs: number): BackendCandidate {
-		return {
-			id: backend.id,
-			backend,
-			load: backend.load(nowMs, () => this.#senderCountOf(backend)),
-			slots: backend.slots,
-			slowness: backend.slowness(nowMs),
-			isDeprioritized: backend.isDeprioritized(nowMs),
-			canAccept: backend.connections.canAcquire() && (!backend.isCold(nowMs) || this.#canAcceptCold(backend, nowMs)) && this.#limitWaitMs(backend, nowMs) === 0,
-		};
+	/** The servers with a free slot; of the others nothing but the load is evaluated. */
+	#freeCandidates(backends: readonly Backend[], request: PlacementRequest, isAllowed: (region: string) => boolean): BackendCandidate[] {
+		const nowMs = this.options.timers.nowMs();
+		const candidates: BackendCandidate[] = [];
+		for (const backend of backends) {
+			if (isAllowed(backend.region) && this.#isEligible(backend, request)) {
+				const load = this.#loadOf(backend, nowMs);
+				if (load < backend.slots) {
+					candidates.push(new BackendCandidate(backend, load, nowMs, this.#canAccept));
+				}
+			}
+		}
+
+		return candidates;
+	}
+
+	#loadOf(backend: Backend, nowMs: number): number {
+		return backend.load(nowMs, () => this.#senderCountOf(backend));
 	}
 
 	/** Time until the limit of a server lets this VM send a request, in milliseconds; 0 without a limit. */
@@ -293,25 +281,13 @@
 		return backend.coldRequests.count(nowMs) < allowance;
 	}
 
-	#usable(service: string): Backend[] {
-		return (this.#byService.get(service) ?? []).filter(backend => backend.isUsable && !this.options.state.isEvacuated(backend.record.failureDomain));
+	#isUsable(backend: Backend): boolean {
+		return backend.isUsable && !this.options.state.isEvacuated(backend.record.failureDomain);
 	}
 
-	#orderOf(service: string, affinityKey: string): string[] {
-		const key = `${service}\u0000${affinityKey}`;
-		let order = this.#cachedOrders.get(key);
-		if (order === undefined) {
-			if (this.#cachedOrders.size >= maxCachedOrders) {
-				for (const old of [...this.#cachedOrders.keys()].slice(0, maxCachedOrders / 2)) {
-					this.#cachedOrders.delete(old);
-				}
-			}
-
-			order = rendezvousOrder(affinityKey, (this.#byService.get(service) ?? []).map(({id}) => id));
-			this.#cachedOrders.set(key, order);
-		}
-
-		return order;
+	/** Whether a server is usable and has not been tried already for the request. */
+	#isEligible(backend: Backend, {excluded}: PlacementRequest): boolean {
+		return this.#isUsable(backend) && !excluded.has(backend.id);
 	}
 
 	#spilloverLimiterOf(service: string): SpilloverLimiter {
@@ -363,14 +339,7 @@
 			}
 		}
 
-		this.#byService.clear();
-		this.#cachedOrders.clear();
-		for (const backend of this.#backends.values()) {
-			const servers = this.#byService.get(backend.record.service) ?? [];
-			servers.push(backend);
-			this.#byService.set(backend.record.service, servers);
-		}
-
+		this.#byService.replace(this.#backends.values());
 		this.options.onSlotAvailable();
 	}
 
@@ -396,7 +365,7 @@
 
 	/** Time until the first pause ends of a server that would otherwise be usable, in milliseconds; undefined if none asks for a pause. */
 	pauseMs(service: string, homeRegions: readonly string[] | undefined): number | undefined {
-		const ends = (this.#byService.get(service) ?? [])
+		const ends = this.#byService.of(service)
 			.filter(backend => backend.isPausing && homeRegions?.includes(backend.region) !== false && !this.options.state.isEvacuated(backend.record.failureDomain))
 			.map(({pausedUntilMs}) => pausedUntilMs);
 		return ends.length === 0 ? undefined : Math.max(0, Math.min(...ends) - this.options.timers.nowMs());
