--- a/packages/gateway/src/placement/backend.ts
+++ b/packages/gateway/src/placement/backend.ts
@@ -44,7 +44,12 @@
 }
 
 /** Running and queued requests that a backend server reported with an answer. */
-export type ReportedLoad = {readonly running: number; readonly waiting: number};
+export type ReportedLoad = {
+	readonly running: number;
+	readonly waiting: number;
+	/** Duration of work there at this moment, as a multiple of the usual one; undefined if the server does not report it. */
+	readonly slowness?: number;
+};
 
 const conditionChart = chart as Chart;
 /** Window of the failure rate. */
@@ -61,6 +66,8 @@
 const latencyRatioTtlMs = 2500;
 /** Least slots of a server with a limit; keeps ratios of requests to slots finite. */
 const minUsableSlots = 0.1;
+/** How long a reported slowness holds; servers on shared machines change theirs about as often. */
+const slownessTtlMs = 600;
 /** How long a server counts as full after it shed a request. */
 const shedBackoffMs = 150;
 
@@ -77,7 +84,11 @@
 	#coldUntilMs = 0;
 	readonly #peerLoad = new PeerLoadEstimator();
 	#fullUntilMs = 0;
+	#slowness: number | undefined;
+	#slownessAtMs = 0;
+	/** Outcomes within the window, oldest first, and the number of failures among them. */
 	#outcomes: Array<{atMs: number; isFailure: boolean}> = [];
+	#failureCount = 0;
 	#latencyRatio = 1;
 	#latencyRatioCount = 0;
 	#latencyRatioAtMs = 0;
@@ -153,8 +164,10 @@
 			this.apply(ConditionEvent.restarted);
 			this.#pausedUntilMs = Number.NEGATIVE_INFINITY;
 			this.#outcomes = [];
+			this.#failureCount = 0;
 			this.#latencyRatioCount = 0;
 			this.#peerLoad.reset();
+			this.#slowness = undefined;
 		}
 
 		if (known.record !== this.#known.record) {
@@ -243,8 +256,21 @@
 	}
 
 	/** Records the load reported with an answer; call it after removing the answered request from `inFlight`. */
-	recordLoad({running, waiting}: ReportedLoad, nowMs: number): void {
+	recordLoad({running, waiting, slowness}: ReportedLoad, nowMs: number): void {
 		this.#peerLoad.report(Math.max(0, running + waiting - this.inFlight - 1), nowMs);
+		this.#slowness = slowness;
+		this.#slownessAtMs = nowMs;
+	}
+
+	/** Whether its last report said how slow its machine is. */
+	get reportsSlowness(): boolean {
+		return this.#slowness !== undefined;
+	}
+
+	/** Expected duration of work there as a multiple of the usual one, from its last report; the report counts less with its age. Undefined without a report that still holds. */
+	slowness(nowMs: number): number | undefined {
+		const ageMs = nowMs - this.#slownessAtMs;
+		return this.#slowness === undefined || ageMs >= slownessTtlMs ? undefined : 1 + ((this.#slowness - 1) * (1 - (ageMs / slownessTtlMs)));
 	}
 
 	/** Records that the server rejected a request without running it. */
@@ -254,7 +280,9 @@
 
 	/** Records how a request ended; `latencyRatio` is its latency divided by the typical latency of its route over all servers. */
 	recordOutcome(isFailure: boolean, latencyRatio: number | undefined, nowMs: number): void {
+		this.#forgetOldOutcomes(nowMs);
 		this.#outcomes.push({atMs: nowMs, isFailure});
+		this.#failureCount += isFailure ? 1 : 0;
 		if (latencyRatio !== undefined) {
 			if (nowMs - this.#latencyRatioAtMs > latencyRatioTtlMs) {
 				this.#latencyRatio = 1;
@@ -273,11 +301,22 @@
 			return true;
 		}
 
-		if (this.#outcomes.length > 0 && this.#outcomes[0].atMs <= nowMs - outcomeWindowMs) {
-			this.#outcomes = this.#outcomes.filter(({atMs}) => atMs > nowMs - outcomeWindowMs);
+		// Most servers fail no request, and placing asks for each of them.
+		if (this.#failureCount === 0) {
+			return false;
+		}
+
+		this.#forgetOldOutcomes(nowMs);
+		return this.#outcomes.length >= minSamples && this.#failureCount / this.#outcomes.length > maxFailureRate;
+	}
+
+	/** Forgets the outcomes that have left the window. */
+	#forgetOldOutcomes(nowMs: number): void {
+		if (this.#outcomes.length === 0 || this.#outcomes[0].atMs > nowMs - outcomeWindowMs) {
+			return;
 		}
 
-		const failures = this.#outcomes.filter(({isFailure}) => isFailure).length;
-		return this.#outcomes.length >= minSamples && failures / this.#outcomes.length > maxFailureRate;
+		this.#outcomes = this.#outcomes.filter(({atMs}) => atMs > nowMs - outcomeWindowMs);
+		this.#failureCount = this.#outcomes.filter(({isFailure}) => isFailure).length;
 	}
 }
