--- a/packages/gateway/src/placement/region-plan.ts
+++ b/packages/gateway/src/placement/region-plan.ts
@@ -1,6 +1,7 @@
 import {type Logger, type TimerService} from '@fescuewick/core';
 import {type ConfigurationIndex} from '../model/configuration.js';
 import {type FleetState} from '../state/fleet-state.js';
+import {DemandTrend} from './demand-trend.js';
 import {ObjectAdmissionController, isAdmitted} from './object-admission.js';
 import {
 	assumeDemand, hasMeasuredDemand, offloadFractions, type RegionLoad,
@@ -60,6 +61,8 @@
 	readonly #startedAtMs: number;
 	readonly #steerings = new Map<string, RegionSteering>();
 	readonly #admissionControllers = new Map<string, ObjectAdmissionController>();
+	/** Trends of the demand, by service and region. */
+	readonly #trends = new Map<string, DemandTrend>();
 	/** Last logged values, by kind of event, service and region. */
 	readonly #logged = new Map<string, number>();
 	#shares: {readonly index: ConfigurationIndex | undefined; readonly byService: Map<string, DemandShares>} = {index: undefined, byService: new Map()};
@@ -94,7 +97,7 @@
 		const measured = new Map<string, RegionLoad>([...loads].map(([name, {slots}]) => [name, {
 			unboundSlots: demand.unboundSlots(name, service), boundSlots: demand.boundSlots(name, service), slots,
 		}]));
-		const targets = offloadFractions(region, hasMeasuredDemand(measured) ? measured : assumeDemand(measured, this.#sharesOf(service)));
+		const targets = offloadFractions(region, hasMeasuredDemand(measured) ? this.#forecast(service, measured) : assumeDemand(measured, this.#sharesOf(service)));
 		const steering = this.#steeringOf(service);
 		if (this.#isStartingUp) {
 			// A starting VM adopts the fractions of its region. If no VM of the region reports any, there is no traffic to shift, so the targets apply without a step limit.
@@ -106,6 +109,23 @@
 		this.#logSteering(service, steering, targets, measured);
 	}
 
+	/** Replaces the unbound demand in the loads by the highest one expected in the next seconds. */
+	#forecast(service: string, loads: ReadonlyMap<string, RegionLoad>): ReadonlyMap<string, RegionLoad> {
+		const nowMs = this.options.timers.nowMs();
+		return new Map([...loads].map(([name, load]) => [name, {...load, unboundSlots: this.#trendOf(service, name).forecast(load.unboundSlots, nowMs)}]));
+	}
+
+	#trendOf(service: string, region: string): DemandTrend {
+		const key = `${service}\u0000${region}`;
+		let trend = this.#trends.get(key);
+		if (trend === undefined) {
+			trend = new DemandTrend();
+			this.#trends.set(key, trend);
+		}
+
+		return trend;
+	}
+
 	get #isStartingUp(): boolean {
 		return this.options.timers.nowMs() - this.#startedAtMs < startupMs;
 	}
