--- a/packages/gateway/src/forward/request-placement.ts
+++ b/packages/gateway/src/forward/request-placement.ts
@@ -34,7 +34,7 @@
 
 	find(): Placement | PlacementFailure {
 		return this.context.placer.place({
-			service: this.admitted.service, affinityKey: affinityKeyOf(this.admitted), homeRegions: this.#homes, boundRegion: this.boundRegion, excluded: this.#excluded, region: this.#region,
+			service: this.admitted.service, affinityKey: affinityKeyOf(this.admitted), homeRegions: this.#homes, boundRegion: this.boundRegion, prefersOwnDomain: this.admitted.route.hasLargeBodies, excluded: this.#excluded, region: this.#region,
 		});
 	}
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -180,6 +180,7 @@
 			regionOf: failureDomain => regions[failureDomain],
 			bounds: () => this.settings.bounds,
 			vm: location.vm,
+			failureDomain: location.failureDomain,
 			limitSharersIn: name => this.#peers.limitSharersIn(name),
 			maxAnswerHeadBytes: settings.answers.maxHeadBytes,
 			typicalMs: service => this.#latency.typicalMs(service, initialDurationMs),
--- a/packages/gateway/src/model/configuration.ts
+++ b/packages/gateway/src/model/configuration.ts
@@ -9,6 +9,8 @@
 	readonly pathPrefix: string;
 	/** Whether a request may run more than once. */
 	readonly isRepeatable: boolean;
+	/** Whether requests or answers are large, so that they should stay in the failure domain of this VM. Absent in copies from peers that do not know it. */
+	readonly hasLargeBodies?: boolean;
 	/** Request timeout for callers. */
 	readonly timeoutMs: number;
 	/** Latency target. */
--- a/packages/gateway/src/placement/placer.test.ts
+++ b/packages/gateway/src/placement/placer.test.ts
@@ -5,10 +5,10 @@
 import {PlacementFailure, Placer} from './placer.js';
 import {RegionalDemand} from './slot-demand-meter.js';
 
-/** Placer of a VM in region `small`, with 12 slots there and 48 in `large`. */
-function createPlacer(timers: ManualTimerService): Placer {
+/** Placer of a VM in region and failure domain `small`, by default with 12 slots there and 48 in region `large`. */
+function createPlacer(timers: ManualTimerService, failureDomains = ['small', 'large', 'large', 'large', 'large']): Placer {
 	const handlers = new Map<string, () => void>();
-	const backends = new Map(['small', 'large', 'large', 'large', 'large'].map((region, index) => [`s${index}`, {record: backendRecord(`s${index}`, {slots: 12, failureDomain: region}), receivedAtMs: 0}]));
+	const backends = new Map(failureDomains.map((failureDomain, index) => [`s${index}`, {record: backendRecord(`s${index}`, {slots: 12, failureDomain}), receivedAtMs: 0}]));
 	const state = {
 		backends,
 		events: {
@@ -24,9 +24,10 @@
 		logger: createSilentLogger(),
 		region: 'small',
 		regions: ['small', 'large'],
-		regionOf: failureDomain => failureDomain,
+		regionOf: failureDomain => failureDomain.split('-')[0],
 		bounds: () => ({shiftMost: 0.15, coldOvershoot: 1.5, coldSlack: 2}),
 		vm: 'a1',
+		failureDomain: 'small',
 		limitSharersIn: () => ['a1', 'a2'],
 		maxAnswerHeadBytes: 16_384,
 		onSlotAvailable: () => undefined,
@@ -102,3 +103,21 @@
 		t.is(typeof placement === 'string' ? placement : placement.backend.region, 'large');
 	}
 });
+
+test('requests with large bodies stay in the failure domain of the VM while a server there has a slot', t => {
+	// Guards against uploads and downloads of which half cross between the failure domains of a region.
+	const vm = createPlacer(new ManualTimerService(), ['small', 'small', 'small-2', 'small-2', 'small-2']);
+	const domainsOf = (prefersOwnDomain: boolean) => [...new Set(Array.from({length: 40}, (_, index) => {
+		const placement = vm.place({
+			service: 'stock', affinityKey: `figure-${index}`, homeRegions: undefined, boundRegion: undefined, region: undefined, prefersOwnDomain, excluded: new Set(),
+		});
+		return typeof placement === 'string' ? placement : placement.backend.record.failureDomain;
+	}))].sort();
+	t.deepEqual(domainsOf(true), ['small']);
+	t.deepEqual(domainsOf(false), ['small', 'small-2']);
+	for (const backend of vm.backends) {
+		backend.inFlight = backend.record.failureDomain === 'small' ? 30 : 0;
+	}
+
+	t.deepEqual(domainsOf(true), ['small-2']);
+});
--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -7,6 +7,7 @@
 import {
 	chooseByAffinity, chooseLeastLoaded, type Candidate, type ChoiceReason,
 } from './choose-backend.js';
+import {chooseDomainFirst} from './domain-preference.js';
 import {
 	RegionPlan, type ShiftedFractions, type RegionPlanOptions, type ServerLoad,
 } from './region-plan.js';
@@ -43,6 +44,8 @@
 	readonly boundRegion: string | undefined;
 	/** Region that steering assigned to the request; undefined for the VM's own. */
 	readonly region: string | undefined;
+	/** Whether a server of this VM's failure domain is preferred to others of the region. */
+	readonly prefersOwnDomain?: boolean;
 	/** Ids of the servers that were tried already. */
 	readonly excluded: ReadonlySet<string>;
 };
@@ -71,6 +74,7 @@
 	readonly regionOf: (failureDomain: string) => string | undefined;
 	readonly bounds: () => PlacementBounds;
 	readonly vm: string;
+	readonly failureDomain: string;
 	/** Names of the VMs of a region that hold a share of the limits, because they may send to its servers; this one included if it is in that region. */
 	readonly limitSharersIn: (region: string) => readonly string[];
 	/** Longest head of a server's answer, in bytes. */
@@ -196,7 +200,14 @@
 		return {...remote, isRemote: true};
 	}
 
-	#choose(backends: readonly Backend[], {service, affinityKey}: PlacementRequest): Omit<Placement, 'isRemote'> | undefined {
+	/** Chooses among servers of one region, or of all other regions. */
+	#choose(backends: readonly Backend[], request: PlacementRequest): Omit<Placement, 'isRemote'> | undefined {
+		return request.prefersOwnDomain === true
+			? chooseDomainFirst(backends, this.options.failureDomain, servers => this.#chooseAmong(servers, request))
+			: this.#chooseAmong(backends, request);
+	}
+
+	#chooseAmong(backends: readonly Backend[], {service, affinityKey}: PlacementRequest): Omit<Placement, 'isRemote'> | undefined {
 		const nowMs = this.options.timers.nowMs();
 		const choice = affinityKey === undefined
 			? chooseLeastLoaded(backends.map(backend => this.#candidateOf(backend, nowMs)))
