--- a/packages/gateway/src/placement/placer.test.ts
+++ b/packages/gateway/src/placement/placer.test.ts
@@ -104,7 +104,7 @@
 	}
 });
 
-test('requests with large bodies stay in the failure domain of the VM while a server there has a slot', t => {
+test('requests with large bodies stay in the failure domain of the VM while their first server there has a free slot', t => {
 	// Guards against uploads and downloads of which half cross between the failure domains of a region.
 	const vm = createPlacer(new ManualTimerService(), ['small', 'small', 'small-2', 'small-2', 'small-2']);
 	const domainsOf = (prefersOwnDomain: boolean) => [...new Set(Array.from({length: 40}, (_, index) => {
