--- a/packages/gateway/src/forward/request-placement.ts
+++ b/packages/gateway/src/forward/request-placement.ts
@@ -63,7 +63,7 @@
 
 	#place(excluded: ReadonlySet<string>): Placement | PlacementFailure {
 		return this.context.placer.place({
-			service: this.admitted.service, affinityKey: affinityKeyOf(this.admitted), homeRegions: this.#homes, boundRegion: this.boundRegion, excluded, region: this.#region,
+			service: this.admitted.service, affinityKey: affinityKeyOf(this.admitted), homeRegions: this.#homes, boundRegion: this.boundRegion, prefersOwnDomain: this.admitted.route.hasLargeBodies, excluded, region: this.#region,
 		});
 	}
 }
--- a/packages/gateway/src/placement/placement.ts
+++ b/packages/gateway/src/placement/placement.ts
@@ -11,6 +11,8 @@
 	readonly boundRegion: string | undefined;
 	/** Region that steering assigned to the request; undefined for the VM's own. */
 	readonly region: string | undefined;
+	/** Whether a server of this VM's failure domain is preferred to others of the region. */
+	readonly prefersOwnDomain?: boolean;
 	/** Ids of the servers that were tried already. */
 	readonly excluded: ReadonlySet<string>;
 };
--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -8,6 +8,7 @@
 import {
 	chooseByAffinity, chooseFastest, chooseLeastLoaded, type Choice,
 } from './choose-backend.js';
+import {chooseDomainFirst} from './domain-preference.js';
 import {PlacementFailure, type Placement, type PlacementRequest} from './placement.js';
 import {
 	RegionPlan, type ShiftedFractions, type RegionPlanOptions, type ServerLoad,
@@ -42,6 +43,7 @@
 	readonly regionOf: (failureDomain: string) => string | undefined;
 	readonly bounds: () => PlacementBounds;
 	readonly vm: string;
+	readonly failureDomain: string;
 	/** Names of the VMs of a region that hold a share of the limits, because they may send to its servers; this one included if it is in that region. */
 	readonly limitSharersIn: (region: string) => readonly string[];
 	/** Longest head of a server's answer, in bytes. */
@@ -151,7 +153,7 @@
 		const hasLocal = isAllowed(region) && this.#byService.inRegion(service, region).some(backend => this.#isEligible(backend, request));
 		// With no server in the region all requests have to leave it, so the spillover limit does not apply.
 		const maySpillOver = !hasLocal || limiter.hasCredit;
-		const remote = maySpillOver ? this.#choose(this.#byService.of(service), request, name => name !== region && isAllowed(name)) : undefined;
+		const remote = maySpillOver ? this.#choose(this.#byService.of(service), request, backend => backend.region !== region && isAllowed(backend.region)) : undefined;
 		if (remote === undefined) {
 			return this.#failureOf(request, isAllowed);
 		}
@@ -176,11 +178,17 @@
 	}
 
 	#chooseInRegion(region: string, request: PlacementRequest, isAllowed: (region: string) => boolean): Omit<Placement, 'isRemote'> | undefined {
-		return isAllowed(region) ? this.#choose(this.#byService.inRegion(request.service, region), request, name => name === region) : undefined;
+		if (!isAllowed(region)) {
+			return undefined;
+		}
+
+		const servers = this.#byService.inRegion(request.service, region);
+		const choose = (mayUse: (backend: Backend) => boolean) => this.#choose(servers, request, backend => backend.region === region && mayUse(backend));
+		return request.prefersOwnDomain === true && region === this.options.region ? chooseDomainFirst(this.options.failureDomain, choose) : choose(() => true);
 	}
 
-	/** Chooses among servers of the allowed regions. With an affinity key, all servers of the service are considered in the order of the key. */
-	#choose(backends: readonly Backend[], request: PlacementRequest, isAllowed: (region: string) => boolean): Omit<Placement, 'isRemote'> | undefined {
+	/** Chooses among allowed servers. With an affinity key, all servers of the service are considered in the order of the key. */
+	#choose(backends: readonly Backend[], request: PlacementRequest, isAllowed: (backend: Backend) => boolean): Omit<Placement, 'isRemote'> | undefined {
 		const nowMs = this.options.timers.nowMs();
 		const {service, affinityKey} = request;
 		const choice = affinityKey === undefined
@@ -192,7 +200,7 @@
 	}
 
 	/** Chooses among all servers; how slow their machines are counts only if one of them reports it. */
-	#chooseAny(backends: readonly Backend[], request: PlacementRequest, isAllowed: (region: string) => boolean): Choice<BackendCandidate> | undefined {
+	#chooseAny(backends: readonly Backend[], request: PlacementRequest, isAllowed: (backend: Backend) => boolean): Choice<BackendCandidate> | undefined {
 		const candidates = this.#freeCandidates(backends, request, isAllowed);
 		if (!backends.some(({reportsSlowness}) => reportsSlowness)) {
 			return chooseLeastLoaded(candidates);
@@ -203,21 +211,21 @@
 	}
 
 	/** Evaluates the servers lazily, because a request usually goes to the first of hundreds. */
-	* #candidatesInOrder(order: readonly Backend[], request: PlacementRequest, isAllowed: (region: string) => boolean): Generator<BackendCandidate> {
+	* #candidatesInOrder(order: readonly Backend[], request: PlacementRequest, isAllowed: (backend: Backend) => boolean): Generator<BackendCandidate> {
 		const nowMs = this.options.timers.nowMs();
 		for (const backend of order) {
-			if (isAllowed(backend.region) && this.#isEligible(backend, request)) {
+			if (isAllowed(backend) && this.#isEligible(backend, request)) {
 				yield new BackendCandidate(backend, this.#loadOf(backend, nowMs), nowMs, this.#canAccept);
 			}
 		}
 	}
 
 	/** The servers with a free slot; of the others nothing but the load is evaluated. */
-	#freeCandidates(backends: readonly Backend[], request: PlacementRequest, isAllowed: (region: string) => boolean): BackendCandidate[] {
+	#freeCandidates(backends: readonly Backend[], request: PlacementRequest, isAllowed: (backend: Backend) => boolean): BackendCandidate[] {
 		const nowMs = this.options.timers.nowMs();
 		const candidates: BackendCandidate[] = [];
 		for (const backend of backends) {
-			if (isAllowed(backend.region) && this.#isEligible(backend, request)) {
+			if (isAllowed(backend) && this.#isEligible(backend, request)) {
 				const load = this.#loadOf(backend, nowMs);
 				if (load < backend.slots) {
 					candidates.push(new BackendCandidate(backend, load, nowMs, this.#canAccept));
--- a/packages/gateway/src/testing/placer-fixture.ts
+++ b/packages/gateway/src/testing/placer-fixture.ts
@@ -46,6 +46,7 @@
 		regionOf: failureDomain => failureDomain,
 		bounds: () => ({shiftMost: fixtureShiftMost, coldOvershoot: 1.5, coldSlack: 2}),
 		vm,
+		failureDomain: region,
 		limitSharersIn,
 		maxAnswerHeadBytes: 16_384,
 		onSlotAvailable: () => undefined,
