Do not drop bytes of an answer while its reader is paused

Cause: reads of a server's connection are cut into pieces by an override of socket.read, which ignored its argument. A stream reads zero bytes of itself to have its buffer filled and drops the result; with the override such a read took up to 4 KB of the answer. It happens when a paused answer lies in the buffer, so callers with slow links got it.

Change: zero-byte reads go through. The test with a length failed before (bytes missing, so the answer never ended); the one in chunks passes with both.

--- a/packages/entry/src/backends/bounded-reads.test.ts
+++ b/packages/entry/src/backends/bounded-reads.test.ts
@@ -2,9 +2,11 @@
 import {createServer, type AddressInfo} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {Agent, request} from 'undici';
-import {ResultCode, type FescuewickError} from '@fescuewick/core';
+import {ResultCode, SystemTimerService, type FescuewickError} from '@fescuewick/core';
+import {Attempt} from '../forward/attempt.js';
 import {readBounded} from '../request/read-bounded.js';
 import {shortAnswerConnector} from './bounded-reads.js';
+import {ConnectionPool} from './connections.js';
 
 /** Starts a server that answers with `start` and then sends `piece` until its peer closes; counts the bytes that it sent. */
 async function startEndlessServer(t: ExecutionContext, start: string, piece: string) {
@@ -76,3 +78,80 @@
 	const {body} = await request(`http://127.0.0.1:${(server.address() as AddressInfo).port}/`);
 	t.is(String(await readBounded(body, 5, ResultCode.storeMalformed)), 'whole');
 });
+
+/** A reproducible sequence of numbers in [0, limit). */
+function * numbersBelow(limit: number): Generator<number, never> {
+	for (let state = 1; ; state = (state * 48_271) % 2_147_483_647) {
+		yield state % limit;
+	}
+}
+
+/** Cuts a text into chunks of different lengths. */
+function * chunksOf(text: string): Generator<string> {
+	const lengths = numbersBelow(4096);
+	for (let offset = 0; offset < text.length;) {
+		const chunk = text.slice(offset, offset + 1 + lengths.next().value);
+		offset += chunk.length;
+		yield chunk;
+	}
+}
+
+const longBody = Array.from({length: 40_000}, (_, index) => String(index).padStart(10, '0')).join('');
+const longAnswers: Record<string, string> = {
+	'in chunks': `${head}${[...chunksOf(longBody)].map(chunk => `${chunk.length.toString(16)}\r\n${chunk}\r\n`).join('')}0\r\n\r\n`,
+	'with a length': `HTTP/1.1 200 OK\r\ncontent-length: ${longBody.length}\r\n\r\n${longBody}`,
+};
+
+for (const [form, answer] of Object.entries(longAnswers)) {
+	test(`a long answer ${form} arrives whole although its reader pauses again and again`, async t => {
+		// Guards against bytes that are lost while an answer is paused: streams read zero bytes of themselves, which took a piece of the answer. Callers with slow links got a cut-off answer.
+		t.timeout(20_000);
+		const server = createServer(socket => {
+			socket.on('error', () => undefined);
+			socket.once('data', () => {
+				for (let offset = 0; offset < answer.length; offset += 1460) {
+					socket.write(answer.slice(offset, offset + 1460));
+				}
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		t.teardown(() => server.close());
+		const pool = new ConnectionPool(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, {
+			timers: new SystemTimerService(), connectTimeoutMs: 5000, limit: () => 1, onCapacityFreed: () => undefined,
+		});
+		for (let round = 0; round < 20; round++) {
+			const connection = pool.acquire()!;
+			let received = '';
+			const pauses = numbersBelow(5);
+			const problem = await new Promise<string | undefined>(resolve => {
+				const attempt = new Attempt(connection, {
+					onHead: () => undefined,
+					onData(_attempt, chunk) {
+						received += String(chunk);
+						if (pauses.next().value > 0) {
+							return true;
+						}
+
+						setTimeout(() => {
+							attempt.resume();
+						}, 1);
+						return false;
+					},
+					onEnd() {
+						resolve(undefined);
+					},
+					onFail(_attempt, error) {
+						resolve(error.message);
+					},
+				});
+				attempt.send({
+					method: 'GET', path: '/', headers: [], body: undefined,
+				});
+			});
+			t.is(problem, undefined);
+			t.true(received === longBody, `${received.length} of ${longBody.length} bytes`);
+			pool.discard(connection);
+		}
+	});
+}
--- a/packages/entry/src/backends/bounded-reads.ts
+++ b/packages/entry/src/backends/bounded-reads.ts
@@ -9,11 +9,16 @@
 /** Makes the HTTP client read a socket in small pieces, and none once the socket is destroyed; destroys the socket when the answer exceeds its allowance. */
 export function boundReads(socket: Socket, allowance: FramingAllowance): void {
 	const read = socket.read.bind(socket) as (sizeBytes?: number) => Buffer | null;
-	socket.read = () => {
+	socket.read = sizeBytes => {
 		if (socket.destroyed) {
 			return null;
 		}
 
+		// The stream reads zero bytes of itself to have its buffer filled, and drops what such a read returns.
+		if (sizeBytes === 0) {
+			return read(0);
+		}
+
 		// What the parser made of the earlier pieces is known by now.
 		const {problem} = allowance;
 		if (problem !== undefined) {
