--- a/packages/soak/src/fault-injector.ts
+++ b/packages/soak/src/fault-injector.ts
@@ -15,6 +15,12 @@
 /** Time after a restore of the store in which operators and servers write again what they had written, in milliseconds; servers whose entries are missing are kept for 1.9 s. */
 const rewriteDelayMs = 1200;
 
+/** Writes of other users of the store that a restore loses; by them the revisions that VMs know stay ahead of the restored store for the rest of a run. */
+const lostWriteCount = 500;
+
+/** Time until the VMs know the revision of the store, in milliseconds. */
+const knownRevisionMs = 1500;
+
 type FaultInjectorOptions = {
 	readonly timers: TimerService;
 	readonly store: FakePlatformStore;
@@ -143,6 +149,12 @@
 		const {store, timers, operator, backends} = this.options;
 		const copy = store.copy();
 		await timers.sleep(copyAgeMs);
+		for (let count = 0; count < lostWriteCount; count++) {
+			store.set('other', 'counter', count);
+		}
+
+		// The VMs learn the revision by the next checks of their readers.
+		await timers.sleep(knownRevisionMs);
 		store.restore(copy);
 		operator.onRestore();
 		await timers.sleep(rewriteDelayMs);
