Bound what connections of clients hold, at every listener

Node.js parses all that was read from a socket in one call and emits every request in it; their objects, queued responses and log lines grew without a bound.

Data now reaches the HTTP parser in pieces and only below the limits (server/client-connection.ts, server/parser-input.ts). Requests wait while the responses before them are not taken. Stalled readers are closed, and idle connections when connections run short (server/client-connections.ts). Lines of refused and malformed requests are bounded at 200 a second, and ids and paths in them are cut (server/request-log.ts).

A 400 for malformed data behind pipelined requests was written before their responses; it now comes after them.

The count of chunks in RequestFraming is taken as the parser passes them on.

--- a/packages/bench/src/processes/untrusted-clients/gateway-under-test.ts
+++ b/packages/bench/src/processes/untrusted-clients/gateway-under-test.ts
@@ -8,7 +8,6 @@
 import path from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
-import {type ExecutionContext} from 'ava';
 import {freePorts} from '@fescuewick/core';
 import {
 	callerHeaders, configurationObject, FakePlatformServer, FakePlatformStore, readinessPath, serverObject, StoreKind,
@@ -48,13 +47,16 @@
 	readonly settings?: Readonly<Record<string, unknown>>;
 };
 
+/** The part of a test's context that a gateway needs. */
+type TestContext = {teardown(cleanUp: () => Promise<void>): void};
+
 /** What was measured at the process. */
 export type Measurements = {readonly peakMb: number; readonly peakDescriptors: number; readonly logBytes: number; readonly ended: string | undefined};
 
 /** A gateway in a process of its own, with a stand-in of the store and of one backend server in the test's process. */
 export class GatewayUnderTest {
 	/** Starts a gateway; it is killed when the test ends. */
-	static async start(t: ExecutionContext, options: GatewayOptions): Promise<GatewayUnderTest> {
+	static async start(t: TestContext, options: GatewayOptions): Promise<GatewayUnderTest> {
 		const gateway = new GatewayUnderTest(options);
 		t.teardown(async () => gateway.#close());
 		await gateway.#start();
@@ -74,7 +76,7 @@
 
 	private constructor(private readonly options: GatewayOptions) {
 		this.#server = new FakePlatformServer({
-			id: 'server-1', slots: 64, workMs: options.workMs ?? 0, answerBytes: options.answerBytes, nowMs: () => performance.now(), onArrival() {}, onRun() {},
+			id: 'server-1', slots: 64, workMs: options.workMs ?? 0, answerBytes: options.answerBytes, nowMs: () => performance.now(), onArrival: () => undefined, onRun: () => undefined,
 		});
 	}
 
--- a/packages/entry/src/request/body-reader.ts
+++ b/packages/entry/src/request/body-reader.ts
@@ -76,20 +76,26 @@
 /** Checks that a chunked body does not come in chunks of a few bytes without end. The bytes of its chunk sizes are estimated, because what the socket has received may hold the caller's next requests. */
 export class RequestFraming {
 	readonly #allowance = new FramingAllowance(maxFramingBytes);
-	readonly #isChunked: boolean;
 
-	constructor({headers}: IncomingMessage) {
-		this.#isChunked = headers['transfer-encoding'] !== undefined;
-	}
-
-	/** Records a chunk of the body; returns why the body must not be read any further, or undefined. */
-	record(chunk: Buffer): string | undefined {
-		if (!this.#isChunked) {
-			return undefined;
+	constructor(request: IncomingMessage) {
+		if (request.headers['transfer-encoding'] === undefined) {
+			return;
 		}
 
-		this.#allowance.recordReceived(chunk.length + minChunkFramingBytes);
-		this.#allowance.recordBody(chunk.length);
+		// Chunks are counted as the parser passes them on: a reader gets all that have arrived as one.
+		const push = request.push.bind(request);
+		request.push = (chunk: Buffer | null, ...parameters) => {
+			if (chunk !== null) {
+				this.#allowance.recordReceived(chunk.length + minChunkFramingBytes);
+				this.#allowance.recordBody(chunk.length);
+			}
+
+			return push(chunk, ...parameters);
+		};
+	}
+
+	/** Why the body must not be read any further; undefined while it may. */
+	get problem(): string | undefined {
 		return this.#allowance.problem;
 	}
 }
@@ -114,7 +120,7 @@
 			// Without a size, all chunks that have arrived are read as one.
 			for (let chunk = request.read() as Buffer | null; chunk !== null; chunk = request.read() as Buffer | null) {
 				content.append(chunk);
-				const problem = framing.record(chunk);
+				const {problem} = framing;
 				if (problem !== undefined) {
 					finish(() => {
 						reject(malformedBody(problem));
@@ -166,7 +172,7 @@
 	// A server may answer before it has read the whole body; this must not close the caller's connection.
 	for await (const chunk of request.iterator({destroyOnReturn: false}) as AsyncIterable<Buffer>) {
 		sizeBytes += chunk.length;
-		const problem = framing.record(chunk);
+		const {problem} = framing;
 		if (problem !== undefined) {
 			throw malformedBody(problem);
 		}
--- a/packages/gateway/src/forward/error-answer.ts
+++ b/packages/gateway/src/forward/error-answer.ts
@@ -78,7 +78,7 @@
 	const framing = new RequestFraming(request);
 	request.on('readable', () => {
 		for (let chunk = request.read() as Buffer | null; chunk !== null; chunk = request.read() as Buffer | null) {
-			if (framing.record(chunk) !== undefined) {
+			if (framing.problem !== undefined) {
 				// Reading such a body to its end would keep the process busy, so its caller may lose the answer.
 				socket.destroy();
 				return;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,7 +6,7 @@
 import {Collection, type CollectionStore} from '@fescuewick/store';
 import {RequestQueues} from './admission/request-queues.js';
 import {entryAddressesFor} from './directory/entry-directory.js';
-import {RetryBudgets, type ForwardingContext, type RequestSummary} from './forward/forwarding-context.js';
+import {RetryBudgets, type ForwardingContext} from './forward/forwarding-context.js';
 import {type HeaderDialect} from './forward/header-dialect.js';
 import {RouteLatency} from './forward/route-latency.js';
 import {measureIntervalMs, WorkspaceLimiter} from './limits/workspace-limiter.js';
@@ -24,13 +24,13 @@
 import {createProbeAgent, Prober} from './placement/prober.js';
 import {SlotDemandMeter} from './placement/slot-demand-meter.js';
 import {EventLoopDelay} from './server/event-loop-delay.js';
+import {ClientConnections} from './server/client-connections.js';
 import {registerGauges} from './server/gauges.js';
 import {applyLimits, createFrontServer, stopFrontServer} from './server/front-server.js';
 import {listenAt} from './server/listen.js';
 import {RequestHandler} from './server/request-handler.js';
-import {
-	createDirectoryServer, createMetricsServer, createPeerServer, createReadinessServer, type PlatformInterface, type AuxiliaryServerOptions,
-} from './server/auxiliary-servers.js';
+import {RequestLog} from './server/request-log.js';
+import {createAuxiliaryServers, type PlatformInterface, type AuxiliaryServerOptions} from './server/auxiliary-servers.js';
 import {inForceMs, type GatewaySettings} from './settings.js';
 import {FleetState} from './state/fleet-state.js';
 import {followedCollections} from './state/followed-collections.js';
@@ -85,6 +85,8 @@
 	readonly #prober: Prober;
 	readonly #probeAgent = createProbeAgent();
 	readonly #handler: RequestHandler;
+	readonly #clients: ClientConnections;
+	readonly #requestLog: RequestLog;
 	readonly #frontServer;
 	readonly #auxiliaryServers;
 	readonly #metrics: Metrics;
@@ -207,7 +209,11 @@
 		});
 		const context = this.#createContext();
 		this.#handler = new RequestHandler(context, () => this.#state.configuration, settings.uploads);
-		this.#frontServer = createFrontServer(this.#handler, logger);
+		this.#requestLog = new RequestLog(logger, timers);
+		this.#clients = new ClientConnections({
+			settings: settings.clients, timers, logger, metrics: this.#metrics,
+		});
+		this.#frontServer = createFrontServer(this.#handler, this.#clients, this.#requestLog);
 		this.#auxiliaryServers = this.#createAuxiliaryServers();
 		for (const collection of followedCollections) {
 			this.#state.replicas[collection].events.on('change', () => {
@@ -262,6 +268,8 @@
 				this.#peers.expire();
 				this.#readerRole.update();
 				replicaAges.check();
+				this.#clients.check();
+				this.#requestLog.check();
 			}),
 			timers.repeat(measureIntervalMs, () => {
 				this.#limiter.update(new Set(this.#peers.limitSharers().map(({vm}) => vm)));
@@ -301,7 +309,7 @@
 		this.#isStopping = true;
 		this.#gossip.send(HeartbeatScope.fleet);
 		logger.info({event: 'stopping', requests: this.#handler.activeRequests.size}, 'gateway is stopping');
-		await stopFrontServer(this.#frontServer, this.#handler, {timers, graceMs: this.settings.bounds.graceMs});
+		await stopFrontServer(this.#frontServer, this.#handler, {timers, graceMs: this.settings.bounds.graceMs, clients: this.#clients});
 		for (const cancel of this.#cancels) {
 			cancel();
 		}
@@ -364,15 +372,11 @@
 
 				requests.inc({result: String(summary.outcome)});
 				latency.observe(summary.durationMs / 1000);
-				this.#log(summary);
+				this.#requestLog.write(summary);
 			},
 		};
 	}
 
-	#log(summary: RequestSummary): void {
-		this.deps.logger.info({event: 'request', ...summary}, 'request');
-	}
-
 	#createAuxiliaryServers() {
 		const {listen, bounds} = this.settings;
 		const options: AuxiliaryServerOptions = {
@@ -383,13 +387,9 @@
 			replicas: this.#state.replicas,
 			members: () => [this.#self, ...this.#peers.records()],
 			metrics: this.#metrics,
+			clients: this.#clients,
 		};
-		return [
-			{server: createReadinessServer(options), address: listen.readiness},
-			{server: createDirectoryServer(options), address: listen.directory},
-			{server: createPeerServer(options), address: listen.peers},
-			{server: createMetricsServer(options), address: listen.metrics},
-		];
+		return createAuxiliaryServers(options, listen);
 	}
 
 	#addressesFor(caller: {readonly failureDomain: string; readonly region: string}): string[] {
--- a/packages/gateway/src/server/auxiliary-servers.ts
+++ b/packages/gateway/src/server/auxiliary-servers.ts
@@ -1,16 +1,18 @@
 import {type Buffer} from 'node:buffer';
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {encode} from 'cbor-x';
 import restana from 'restana';
 import {type Metrics} from '@fescuewick/core';
 import {Collection} from '@fescuewick/store';
 import {type VmRecord} from '../model/records.js';
+import {type GatewaySettings} from '../settings.js';
 import {type Replica} from '../state/replica.js';
+import {type ClientConnections} from './client-connections.js';
 
 /** Idle connections to the auxiliary servers are closed after this time, in milliseconds. */
 const keepAliveMs = 5000;
+/** Longest time in which a request to an auxiliary server arrives, in milliseconds. */
+const requestTimeoutMs = 10_000;
 
 /** Paths and formats of the readiness and directory endpoints, which differ between platforms. */
 export abstract class PlatformInterface {
@@ -31,14 +33,14 @@
 	readonly replicas: Readonly<Record<Collection, Replica>>;
 	readonly members: () => VmRecord[];
 	readonly metrics: Metrics;
+	readonly clients: ClientConnections;
 };
 
 type Handler = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
 
-function createAuxiliaryServer(routes: ReadonlyArray<[path: string, handler: Handler]>): Server {
-	const server = createServer({keepAliveTimeout: keepAliveMs});
+function createAuxiliaryServer(clients: ClientConnections, routes: ReadonlyArray<[path: string, handler: Handler]>): Server {
 	const service = restana({
-		server, prioRequestsProcessing: false, defaultRoute(_request, response) {
+		prioRequestsProcessing: false, defaultRoute(_request, response) {
 			response.statusCode = 404;
 			response.end();
 		},
@@ -49,7 +51,9 @@
 		});
 	}
 
-	return server;
+	return clients.createServer({keepAliveTimeout: keepAliveMs, headersTimeout: requestTimeoutMs, requestTimeout: requestTimeoutMs}, (request, response) => {
+		service.handle(request as Parameters<typeof service.handle>[0], response as Parameters<typeof service.handle>[1]);
+	});
 }
 
 function sendJson(response: ServerResponse, status: number, body: unknown): void {
@@ -62,16 +66,16 @@
 }
 
 /** Creates the server of the readiness endpoint. */
-export function createReadinessServer({platform, isReady}: AuxiliaryServerOptions): Server {
-	return createAuxiliaryServer([[platform.readinessPath, (_request, response) => {
+function createReadinessServer({platform, isReady, clients}: AuxiliaryServerOptions): Server {
+	return createAuxiliaryServer(clients, [[platform.readinessPath, (_request, response) => {
 		const ready = isReady();
 		sendJson(response, ready ? 200 : 503, {ready});
 	}]]);
 }
 
 /** Creates the server of the directory, which names the entry VMs that a caller should use. */
-export function createDirectoryServer({platform, addressesFor, directoryTtlMs}: AuxiliaryServerOptions): Server {
-	return createAuxiliaryServer([[platform.directoryPath, (request, response) => {
+function createDirectoryServer({platform, addressesFor, directoryTtlMs, clients}: AuxiliaryServerOptions): Server {
+	return createAuxiliaryServer(clients, [[platform.directoryPath, (request, response) => {
 		const {searchParams} = new URL(request.url ?? '', 'http://directory');
 		const addresses = addressesFor(platform.readCaller(searchParams));
 		sendJson(response, addresses.length > 0 ? 200 : 503, platform.directoryBody(addresses, directoryTtlMs));
@@ -79,7 +83,7 @@
 }
 
 /** Creates the server from which peers read the replicas of this VM and the VMs it knows. */
-export function createPeerServer({replicas, members}: AuxiliaryServerOptions): Server {
+function createPeerServer({replicas, members, clients}: AuxiliaryServerOptions): Server {
 	const collections = Object.values(Collection).map((collection): [string, Handler] => [`/v1/collections/${collection}`, (request, response) => {
 		if (replicas[collection].isLoaded) {
 			const since = Number(new URL(request.url ?? '', 'http://peer').searchParams.get('since') ?? '-1');
@@ -88,15 +92,25 @@
 			response.writeHead(503).end();
 		}
 	}]);
-	return createAuxiliaryServer([...collections, ['/v1/members', (_request, response) => {
+	return createAuxiliaryServer(clients, [...collections, ['/v1/members', (_request, response) => {
 		sendCbor(response, members());
 	}]]);
 }
 
 /** Creates the server of the metrics endpoint, in the Prometheus text format. */
-export function createMetricsServer({metrics}: AuxiliaryServerOptions): Server {
-	return createAuxiliaryServer([['/metrics', async (_request, response) => {
+function createMetricsServer({metrics, clients}: AuxiliaryServerOptions): Server {
+	return createAuxiliaryServer(clients, [['/metrics', async (_request, response) => {
 		const text = await metrics.text();
 		response.writeHead(200, {'content-type': metrics.registry.contentType}).end(text);
 	}]]);
 }
+
+/** Creates the auxiliary servers with the addresses at which they are to listen. */
+export function createAuxiliaryServers(options: AuxiliaryServerOptions, listen: GatewaySettings['listen']): Array<{readonly server: Server; readonly address: string}> {
+	return [
+		{server: createReadinessServer(options), address: listen.readiness},
+		{server: createDirectoryServer(options), address: listen.directory},
+		{server: createPeerServer(options), address: listen.peers},
+		{server: createMetricsServer(options), address: listen.metrics},
+	];
+}
--- a/packages/gateway/src/server/front-server.ts
+++ b/packages/gateway/src/server/front-server.ts
@@ -1,10 +1,10 @@
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
-import {type Logger, type TimerService} from '@fescuewick/core';
+import {type Server} from 'node:http';
+import {type TimerService} from '@fescuewick/core';
 import {stopListening} from '@fescuewick/entry/http';
 import {type CallerLimits} from '../model/configuration.js';
+import {type ClientConnections} from './client-connections.js';
 import {type RequestHandler} from './request-handler.js';
+import {type RequestLog} from './request-log.js';
 
 /** Limits before a configuration is loaded; the same as in the existing deployments. */
 const initialLimits: Pick<CallerLimits, 'maxHeaderBytes' | 'headerTimeoutMs' | 'idleTimeoutMs'> = {maxHeaderBytes: 65_536, headerTimeoutMs: 10_000, idleTimeoutMs: 15_000};
@@ -22,34 +22,23 @@
 const idleCheckIntervalMs = 50;
 
 /** Creates the server that callers connect to. */
-export function createFrontServer(handler: RequestHandler, logger: Logger): Server {
-	const server = createServer({
+export function createFrontServer(handler: RequestHandler, clients: ClientConnections, requestLog: RequestLog): Server {
+	const server = clients.createServer({
 		maxHeaderSize: initialLimits.maxHeaderBytes,
 		headersTimeout: initialLimits.headerTimeoutMs,
 		requestTimeout: 0,
 		connectionsCheckingInterval: headerCheckIntervalMs,
 		keepAliveTimeout: initialLimits.idleTimeoutMs + timeoutMarginMs,
 		noDelay: true,
-	}, (request, response) => {
-		handler.handle(request, response);
+	}, (request, response, arrivedAtMs) => {
+		handler.handle(request, response, arrivedAtMs);
+	}, reason => {
+		requestLog.writeMalformed(reason);
 	});
 	server.on('connection', socket => {
 		// Each request that waits behind another one on a connection listens for its end.
 		socket.setMaxListeners(0);
 	});
-	// Without a listener, callers are told to send their bodies before their requests are admitted.
-	server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
-		handler.handle(request, response);
-	});
-	server.on('clientError', (error: Error & {code?: string}, socket) => {
-		if (error.code === 'ECONNRESET' || !socket.writable) {
-			socket.destroy();
-			return;
-		}
-
-		logger.info({event: 'malformed-request', reason: error.code ?? error.message}, 'rejected a request that is not valid HTTP');
-		socket.end(`HTTP/1.1 ${error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-	});
 	return server;
 }
 
@@ -60,13 +49,13 @@
 }
 
 /** Stops a front server within `graceMs`: goes on serving at first, then refuses new requests, then stops listening and ends when no request is in progress. */
-export async function stopFrontServer(server: Server, handler: RequestHandler, {timers, graceMs}: {readonly timers: TimerService; readonly graceMs: number}): Promise<void> {
+export async function stopFrontServer(server: Server, handler: RequestHandler, {timers, graceMs, clients}: {readonly timers: TimerService; readonly graceMs: number; readonly clients: ClientConnections}): Promise<void> {
 	const startedAtMs = timers.nowMs();
 	await timers.sleep(Math.min(acceptAfterStopMs, graceMs / 2));
 	handler.isRefusing = true;
 	await timers.sleep(Math.min(listenAfterStopMs - acceptAfterStopMs, graceMs / 4));
 	await stopListening(server);
-	while (handler.unansweredCount > 0 && timers.nowMs() - startedAtMs < graceMs * abandonGraceFraction) {
+	while (handler.unansweredCount + clients.waitingCount > 0 && timers.nowMs() - startedAtMs < graceMs * abandonGraceFraction) {
 		await timers.sleep(idleCheckIntervalMs);
 	}
 
--- a/packages/gateway/src/server/request-handler.ts
+++ b/packages/gateway/src/server/request-handler.ts
@@ -54,10 +54,9 @@
 		return this.#bodyMemory.usedBytes;
 	}
 
-	/** Handles one request, unless its caller turns out to have left before it was read. */
-	handle(request: IncomingMessage, response: ServerResponse): void {
-		const {closeBarrier, dialect, timers} = this.context;
-		const arrivedAtMs = timers.nowMs();
+	/** Handles one request that was read at `arrivedAtMs`, unless its caller turns out to have left before it was read. */
+	handle(request: IncomingMessage, response: ServerResponse, arrivedAtMs: number): void {
+		const {closeBarrier, dialect} = this.context;
 		this.#unadmitted.add(request);
 		closeBarrier.run(() => {
 			const readRequest = {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -37,6 +37,21 @@
 		/** Memory for buffered bodies of all requests, in bytes; beyond it, bodies are streamed and their requests are not retried. */
 		maxBufferedBytes: z.number().int().positive().default(33_554_432),
 	}).prefault({}),
+	/** Limits on what clients may hold that send requests and do not read the responses; at all listeners together, unless said otherwise. */
+	clients: z.object({
+		/** Connections. Default: half of the descriptors of the process, at most 1024. */
+		maxConnections: z.number().int().positive().optional(),
+		/** Requests of a connection without a complete response; beyond it, the connection is not read. */
+		maxUnanswered: z.number().int().positive().default(64),
+		/** Requests of all connections without a complete response; beyond it, connections that have one are not read. */
+		maxUnansweredTotal: z.number().int().positive().default(1024),
+		/** Bytes of a connection's responses that wait for its client to read; beyond it, the connection is not read. */
+		maxUnsentBytes: z.number().int().positive().default(1_048_576),
+		/** The same of all connections; beyond it, connections with waiting responses are not read, and stalled ones are closed. */
+		maxUnsentBytesTotal: z.number().int().positive().default(25_165_824),
+		/** Longest time for which a client reads nothing of a response that waits for it, in milliseconds. */
+		maxStallMs: z.number().positive().default(15_000),
+	}).prefault({}),
 	bounds: z.object({
 		/** Longest time from SIGTERM to the end of the process, in milliseconds. */
 		graceMs: z.number().positive(),
--- a/packages/gateway/src/testing/start-gateway.ts
+++ b/packages/gateway/src/testing/start-gateway.ts
@@ -4,7 +4,7 @@
 import {Collection, type CollectionStore} from '@fescuewick/store';
 import {Gateway} from '../gateway.js';
 import {type Configuration} from '../model/configuration.js';
-import {type GatewaySettings} from '../settings.js';
+import {gatewaySettingsSchema, type GatewaySettings} from '../settings.js';
 import {configuration as defaultConfiguration, TestDialect, TestPlatformInterface} from './fixtures.js';
 import {MemoryCollectionStore} from './memory-collection-store.js';
 
@@ -26,11 +26,13 @@
 	readonly bounds?: Partial<GatewaySettings['bounds']>;
 	/** Memory for buffered bodies, in bytes. */
 	readonly maxBufferedBytes?: number;
+	/** Limits of clients. Default: those of the settings. */
+	readonly clients?: Partial<GatewaySettings['clients']>;
 	readonly timers?: TimerService;
 };
 
 /** Starts a gateway on free ports. */
-export async function startGateway({vm = 'a1', failureDomain = 'north-1', store = storeWith(defaultConfiguration(1)), seeds = [], bounds = {}, maxBufferedBytes = 33_554_432, timers = new SystemTimerService()}: StartOptions = {}): Promise<StartedGateway> {
+export async function startGateway({vm = 'a1', failureDomain = 'north-1', store = storeWith(defaultConfiguration(1)), seeds = [], bounds = {}, maxBufferedBytes = 33_554_432, clients, timers = new SystemTimerService()}: StartOptions = {}): Promise<StartedGateway> {
 	// A port that the system gives out may be taken by another test's connection before the gateway listens there.
 	const ports = await freePorts(6);
 	const [entry, readiness, directory, peers, heartbeats, metrics] = ports.map(port => `127.0.0.1:${port}`);
@@ -44,6 +46,7 @@
 		store: {address: '127.0.0.1:1'},
 		answers: {maxHeadBytes: 16_384, maxBodyBytes: 67_108_864},
 		uploads: {maxBufferedBytes},
+		clients: gatewaySettingsSchema.shape.clients.parse(clients),
 		bounds: {
 			graceMs: 3000, maxDirectoryTtlMs: 5000, retryRatio: 0.2, retrySlack: 50, retryWindowMs: 10_000, coldOvershoot: 1.5, coldSlack: 5, rateOvershoot: 0.1, rateSlack: 20, rateWindowMs: 5000, shiftMost: 0.15, configurationMs: 2500, drainMs: 2500, evacuationMs: 5000, ...bounds,
 		},
