--- a/packages/bench/src/processes/untrusted-clients/gateway-under-test.ts
+++ b/packages/bench/src/processes/untrusted-clients/gateway-under-test.ts
@@ -86,6 +86,12 @@
 		};
 	}
 
+	/** The text of the metrics endpoint. */
+	async metrics(): Promise<string> {
+		const response = await fetch(`http://127.0.0.1:${this.ports.get(Listener.metrics)}/metrics`);
+		return response.text();
+	}
+
 	/** Sends SIGTERM and resolves with the exit code. */
 	async stop(): Promise<number | undefined> {
 		const child = this.#child!;
--- a/packages/bench/src/processes/untrusted-clients/untrusted-clients.test.ts
+++ b/packages/bench/src/processes/untrusted-clients/untrusted-clients.test.ts
@@ -108,3 +108,19 @@
 		await checkCrowd(t, crowdCase);
 	});
 }
+
+// Guards against a stop that cuts accepted requests, or that does not end, because clients hold connections without reading.
+test.serial('a planned stop answers the requests in progress and ends in time while clients read nothing', async t => {
+	t.timeout(90_000);
+	const gateway = await GatewayUnderTest.start(t, {heapMb, descriptors, workMs: 1500});
+	const crowd = new Crowd(gateway.ports.get(Listener.entry)!, crowdSize, {repeated: get('/nowhere')});
+	t.teardown(() => {
+		crowd.end();
+	});
+	await sleep(1000);
+	const requests = Array.from({length: 20}, async () => gateway.ordinaryRequest(Listener.entry, '/check/a'));
+	await sleep(700);
+	const stopped = gateway.stop();
+	t.deepEqual(await Promise.all(requests), requests.map(() => '200'));
+	t.is(await stopped, 0);
+});
