Pool the shares of a workspace's rate among the VMs of a failure domain

The test context of forwarded-request.test.ts gains a borrower that fails if it is used; its assertions are unchanged.

--- a/packages/gateway/src/forward/forwarded-request.test.ts
+++ b/packages/gateway/src/forward/forwarded-request.test.ts
@@ -5,6 +5,7 @@
 	BackendConnection, CloseBarrier, noBody, type ConnectionPool,
 } from '@fescuewick/entry/http';
 import {RequestQueues} from '../admission/request-queues.js';
+import {TokenBorrower} from '../limits/token-borrower.js';
 import {WorkspaceLimiter} from '../limits/workspace-limiter.js';
 import {Backend} from '../placement/backend.js';
 import {ChoiceReason} from '../placement/choose-backend.js';
@@ -42,6 +43,7 @@
 		},
 	} as unknown as ConnectionPool;
 	const backends = ['s1', 's2'].map(id => new Backend({record: backendRecord(id, {slots: 100}), receivedAtMs: 0}, 'north', connections));
+	const limiter = new WorkspaceLimiter('a1', timers, () => ({overshoot: 0, slackCount: 0, windowMs: 1000}));
 	const context: ForwardingContext = {
 		timers,
 		random: () => 0.5,
@@ -55,7 +57,17 @@
 					backend: backends.find(({id}) => !excluded.has(id))!, reason: ChoiceReason.home, load: 0, isRemote: false,
 				},
 		} as unknown as Placer,
-		limiter: new WorkspaceLimiter('a1', timers, () => ({overshoot: 0, slackCount: 0, windowMs: 1000})),
+		limiter,
+		tokenBorrower: new TokenBorrower({
+			limiter,
+			timers,
+			send() {
+				throw new Error('no token is borrowed');
+			},
+			onEnd() {
+				throw new Error('no token is borrowed');
+			},
+		}),
 		queues,
 		closeBarrier,
 		retryBudgets: new RetryBudgets(timers, {windowMs: 10_000, fraction: 0.2, minCount: () => 10}),
--- a/packages/gateway/src/forward/forwarding-context.ts
+++ b/packages/gateway/src/forward/forwarding-context.ts
@@ -1,6 +1,7 @@
 import {type TimerService} from '@fescuewick/core';
 import {RetryBudget, type CloseBarrier, type RetryLimits} from '@fescuewick/entry/http';
 import {type ActiveRequest, type RequestQueues} from '../admission/request-queues.js';
+import {type TokenBorrower} from '../limits/token-borrower.js';
 import {type WorkspaceLimiter} from '../limits/workspace-limiter.js';
 import {type SlotDemandMeter} from '../placement/slot-demand-meter.js';
 import {type Placer} from '../placement/placer.js';
@@ -34,6 +35,7 @@
 	readonly dialect: HeaderDialect;
 	readonly placer: Placer;
 	readonly limiter: WorkspaceLimiter;
+	readonly tokenBorrower: TokenBorrower;
 	readonly queues: RequestQueues;
 	/** Requests are sent to servers only behind it. */
 	readonly closeBarrier: CloseBarrier;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,7 +9,6 @@
 import {RetryBudgets, type ForwardingContext, type RequestSummary} from './forward/forwarding-context.js';
 import {type HeaderDialect} from './forward/header-dialect.js';
 import {RouteLatency} from './forward/route-latency.js';
-import {measureIntervalMs, WorkspaceLimiter} from './limits/workspace-limiter.js';
 import {type VmRecord} from './model/records.js';
 import {ReplicaSync} from './peers/replica-sync.js';
 import {Gossip} from './peers/gossip.js';
@@ -17,6 +16,7 @@
 import {type Heartbeat} from './peers/heartbeat.js';
 import {PeerClient} from './peers/peer-client.js';
 import {PeerTable} from './peers/peer-table.js';
+import {RatePoolExchange} from './peers/rate-pool-exchange.js';
 import {Registration} from './peers/registration.js';
 import {ServerNoticeKind} from './peers/server-notice.js';
 import {FleetDemand, initialDurationMs} from './placement/fleet-demand.js';
@@ -75,7 +75,7 @@
 	readonly #peerClient = new PeerClient();
 	readonly #followers: StoreFollowers;
 	readonly #readerRole: StoreReaderRole;
-	readonly #limiter: WorkspaceLimiter;
+	readonly #ratePools: RatePoolExchange;
 	readonly #closeBarrier: CloseBarrier;
 	readonly #queues: RequestQueues;
 	readonly #slotDemandMeter = new SlotDemandMeter();
@@ -130,11 +130,14 @@
 			isReading: () => this.#readerRole.isReading,
 			onHeartbeat: heartbeat => {
 				this.#replicaSync.onHeartbeat(heartbeat);
-				this.#limiter.applyReports(heartbeat.record.vm, heartbeat.incarnation, heartbeat.buckets);
+				this.#ratePools.limiter.applyReports(heartbeat.record.vm, heartbeat.incarnation, heartbeat.buckets);
 			},
 			onServerNotice: (notice, peerAddress) => {
 				this.#placer.statements.applyNotice(notice, peerAddress);
 			},
+			onPoolMessage: content => {
+				this.#ratePools.receive(content);
+			},
 		});
 		this.#registration = new Registration({
 			store: deps.store,
@@ -167,9 +170,8 @@
 		this.#readerRole = new StoreReaderRole({
 			self: this.#self, isReady: () => this.isReady, peers: this.#peers, breaker: this.#breaker, followers: [...this.#followers], timers, logger,
 		});
-		this.#limiter = new WorkspaceLimiter(location.vm, timers, () => {
-			const {rateOvershoot, rateSlack, rateWindowMs} = this.settings.bounds;
-			return {overshoot: rateOvershoot, slackCount: rateSlack, windowMs: rateWindowMs};
+		this.#ratePools = new RatePoolExchange({
+			gossip: this.#gossip, table: this.#peers, timers, metrics: this.#metrics, incarnation: this.#incarnation, isReady: () => this.isReady, bounds: () => this.settings.bounds,
 		});
 		this.#placer = new Placer({
 			state: this.#state,
@@ -225,7 +227,7 @@
 		});
 		this.#state.events.on('configuration', index => {
 			unknownValues.set(index.configuration.unknownValues?.length ?? 0);
-			this.#limiter.configure(index.workspaces.values());
+			this.#ratePools.limiter.configure(index.workspaces.values());
 			applyLimits(this.#frontServer, index.configuration.limits);
 		});
 	}
@@ -263,9 +265,7 @@
 				this.#readerRole.update();
 				replicaAges.check();
 			}),
-			timers.repeat(measureIntervalMs, () => {
-				this.#limiter.update(new Set(this.#peers.limitSharers().map(({vm}) => vm)));
-			}),
+			this.#ratePools.start(),
 			timers.repeat(steeringIntervalMs, () => {
 				this.#slotDemandMeter.sample(steeringIntervalMs);
 				this.#placer.steer(this.#demand.byRegion(), steeringIntervalMs, this.#demand.shiftedFractionsOfRegion());
@@ -328,7 +328,7 @@
 			storeAccess: this.#readerRole.access,
 			revisions: Object.fromEntries(followedCollections.map(collection => [collection, this.#state.replicas[collection].advertisedRevisions])),
 			storeReadings: this.#state.readings(),
-			buckets: this.#limiter.reports(isFull, scope === HeartbeatScope.fleet),
+			buckets: this.#ratePools.limiter.reports(isFull, scope === HeartbeatScope.fleet),
 			slotDemand: this.#demand.own(),
 			shiftedFractions: this.#placer.shiftedFractions(),
 		};
@@ -344,7 +344,8 @@
 			random,
 			dialect,
 			placer: this.#placer,
-			limiter: this.#limiter,
+			limiter: this.#ratePools.limiter,
+			tokenBorrower: this.#ratePools.borrower,
 			queues: this.#queues,
 			closeBarrier: this.#closeBarrier,
 			retryBudgets: new RetryBudgets(timers, {
--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -3,6 +3,7 @@
 import {type Cancel, type Logger, type TimerService} from '@fescuewick/core';
 import {splitAddress} from '@fescuewick/wire';
 import {listenAt} from '../server/listen.js';
+import {type VmRecord} from '../model/records.js';
 import {
 	decodeHeartbeat, encodeHeartbeat, type Heartbeat,
 } from './heartbeat.js';
@@ -10,6 +11,7 @@
 	isFullHeartbeat, isLargeRegion, HeartbeatScope, recipients,
 } from './heartbeat-recipients.js';
 import {type PeerTable} from './peer-table.js';
+import {encodePoolMessage, poolMessageMark, type PoolMessage} from './pool-message.js';
 import {decodeServerNotice, encodeServerNotice, type ServerNotice} from './server-notice.js';
 
 /** Interval of heartbeats, in milliseconds; inside a small region, a VM that the store refuses learns of a change within one interval. */
@@ -30,6 +32,8 @@
 	readonly onHeartbeat: (heartbeat: Heartbeat) => void;
 	/** Called when a peer says what a backend server said to it. */
 	readonly onServerNotice: (notice: ServerNotice, peerAddress: string) => void;
+	/** Called with the content of a message about a pool. */
+	readonly onPoolMessage: (content: Buffer) => void;
 };
 
 /** Sends heartbeats to all known VMs, receives theirs and relays them; owns the UDP socket. */
@@ -72,14 +76,24 @@
 		this.#forward(encodeServerNotice(notice), this.#sequence, HeartbeatScope.region);
 	}
 
+	/** Sends a message about a pool to one VM. */
+	sendPoolMessage(message: PoolMessage, recipient: VmRecord): void {
+		this.#sendTo(recipient.heartbeatAddress, poolMessageMark, encodePoolMessage(message));
+	}
+
 	stop(): void {
 		this.#cancel?.();
 		this.#socket.close();
 	}
 
 	#receive(datagram: Buffer, address: string): void {
-		const {table, logger, onHeartbeat, onServerNotice} = this.options;
+		const {table, logger, onHeartbeat, onServerNotice, onPoolMessage} = this.options;
 		const content = datagram.subarray(1);
+		if (datagram[0] === poolMessageMark) {
+			onPoolMessage(content);
+			return;
+		}
+
 		const scope: HeartbeatScope = datagram[0];
 		const notice = decodeServerNotice(content);
 		if (notice !== undefined) {
@@ -120,10 +134,10 @@
 		}
 	}
 
-	/** Sends a datagram whose first byte is the scope within which the recipient relays it. */
-	#sendTo(address: string, scope: HeartbeatScope, content: Buffer): void {
+	/** Sends a datagram whose first byte is the scope within which the recipient relays it, or the mark of a message about a pool. */
+	#sendTo(address: string, firstByte: HeartbeatScope | typeof poolMessageMark, content: Buffer): void {
 		const {host, port} = splitAddress(address);
-		this.#socket.send([Buffer.of(scope), content], port, host, error => {
+		this.#socket.send([Buffer.of(firstByte), content], port, host, error => {
 			// A send error needs no handling: an unreachable peer is detected by its missing heartbeats.
 			if (error !== null) {
 				this.options.logger.debug({event: 'heartbeat-not-sent', to: address, reason: error.message}, 'heartbeat not sent');
--- a/packages/gateway/src/server/request-handler.ts
+++ b/packages/gateway/src/server/request-handler.ts
@@ -9,6 +9,7 @@
 import {type RequestFields} from '../forward/header-dialect.js';
 import {sendContinue, sendError} from '../forward/error-answer.js';
 import {ForwardedRequest} from '../forward/forwarded-request.js';
+import {BorrowOutcome} from '../limits/token-borrower.js';
 import {type ConfigurationIndex, type Route, type Workspace} from '../model/configuration.js';
 import {WeightedRoundRobin} from '../placement/weighted-round-robin.js';
 import {type GatewaySettings} from '../settings.js';
@@ -21,8 +22,10 @@
 const drainingRetryMs = 50;
 
 type UploadLimits = GatewaySettings['uploads'];
-type RequestRefusal = {readonly code: ResultCode; readonly retryMs?: number; readonly message?: string; readonly workspace?: string};
+type RequestRefusal = {readonly code: ResultCode; readonly retryMs?: number; readonly message?: string; readonly workspace?: string; readonly pool?: BorrowOutcome};
 type RequestAdmission = {readonly route: Route; readonly workspace: Workspace | undefined};
+/** A request whose workspace has no token left at this VM. */
+type TokenShortage = {readonly route: Route; readonly workspace: Workspace; readonly waitMs: number};
 /** A request whose head was read. */
 type ReadRequest = {readonly request: IncomingMessage; readonly response: ServerResponse; readonly fields: RequestFields; readonly arrivedAtMs: number};
 
@@ -72,13 +75,55 @@
 	}
 
 	async #admitAndForward(readRequest: ReadRequest): Promise<void> {
-		const {request, response, fields} = readRequest;
-		const admission = this.#admit(request, fields);
-		if ('code' in admission) {
-			this.#refuse(readRequest, admission);
+		const {request, fields} = readRequest;
+		const decision = this.#admit(request, fields);
+		if ('code' in decision) {
+			this.#refuse(readRequest, decision);
+			return;
+		}
+
+		if (!('waitMs' in decision)) {
+			await this.#receiveAndForward(readRequest, decision);
+			return;
+		}
+
+		const pool = await this.#borrowToken(decision.workspace, requestTimeoutMs(decision.route, fields));
+		if (pool !== undefined) {
+			this.#refuse(readRequest, this.#rateRefusal(decision, fields, pool));
 			return;
 		}
 
+		// The caller may have closed its connection during the wait.
+		this.context.closeBarrier.run(() => {
+			if (hasCallerLeft(request.socket)) {
+				this.#refuseAdmitted(readRequest, decision, callerLeftRefusal);
+			} else {
+				void this.#receiveAndForward(readRequest, decision);
+			}
+		});
+	}
+
+	/** Borrows a token from the pool of the failure domain; returns undefined if the request may run, else how the attempt ended. */
+	async #borrowToken({name}: Workspace, timeLeftMs: number): Promise<BorrowOutcome | undefined> {
+		const {limiter, tokenBorrower} = this.context;
+		const outcome = await tokenBorrower.borrow(name, timeLeftMs);
+		const isAdmitted = outcome === BorrowOutcome.granted || (outcome === BorrowOutcome.timedOut && limiter.retryTake(name));
+		return isAdmitted ? undefined : outcome;
+	}
+
+	#rateRefusal({route, workspace, waitMs}: TokenShortage, fields: RequestFields, pool: BorrowOutcome): RequestRefusal {
+		const {limiter, random} = this.context;
+		const retryMs = rateRetryAfterMs({
+			waitMs, isOverRate: limiter.isOverRate(workspace.name), timeLeftMs: requestTimeoutMs(route, fields), random: random(),
+		});
+		return {
+			code: ResultCode.rateExceeded, retryMs, workspace: workspace.name, pool,
+		};
+	}
+
+	/** Forwards an admitted request when its body was read, or at once without one. */
+	async #receiveAndForward(readRequest: ReadRequest, admission: RequestAdmission): Promise<void> {
+		const {request, response, fields} = readRequest;
 		if (!hasBody(request)) {
 			this.#forward(readRequest, admission, noBody);
 			return;
@@ -138,7 +183,7 @@
 		this.activeRequests.delete(request);
 	}
 
-	#admit(request: IncomingMessage, fields: RequestFields): RequestAdmission | RequestRefusal {
+	#admit(request: IncomingMessage, fields: RequestFields): RequestAdmission | RequestRefusal | TokenShortage {
 		const configuration = this.configuration();
 		if (configuration === undefined) {
 			return {code: ResultCode.notReady, retryMs: notReadyRetryMs};
@@ -178,11 +223,7 @@
 
 			const waitMs = this.context.limiter.take(workspace.name);
 			if (waitMs > 0) {
-				const {limiter, random} = this.context;
-				const retryMs = rateRetryAfterMs({
-					waitMs, isOverRate: limiter.isOverRate(workspace.name), timeLeftMs: requestTimeoutMs(route, fields), random: random(),
-				});
-				return {code: ResultCode.rateExceeded, retryMs, workspace: workspace.name};
+				return {route, workspace, waitMs};
 			}
 		}
 
@@ -218,7 +259,7 @@
 			path: code === ResultCode.noRoute ? request.url : undefined,
 			configuration: this.context.configurationVersion(),
 			retryMs,
-			...(refusal.workspace === undefined ? {} : {workspace: refusal.workspace, ...this.context.limiter.explain(refusal.workspace)}),
+			...(refusal.workspace === undefined ? {} : {workspace: refusal.workspace, pool: refusal.pool, ...this.context.limiter.explain(refusal.workspace)}),
 		});
 	}
 
