--- a/packages/gateway/src/limits/shared-token-bucket.ts
+++ b/packages/gateway/src/limits/shared-token-bucket.ts
@@ -1,3 +1,4 @@
+import {removeUntil} from './ascending-times.js';
 import {type BucketMembers} from './bucket-members.js';
 import {BorrowedTokens} from './borrowed-tokens.js';
 import {pooledFraction} from './pooled-fraction.js';
@@ -153,25 +154,22 @@
 		this.#disturbedAtMs = nowMs;
 	}
 
-	/** Advances the estimate to `nowMs` and applies the present members. Peers that are no members are removed. */
+	/** Advances the estimate to `nowMs` and applies the present members. Peers that are no members are removed. Sets of VMs that did not change are to be the same objects, since this is called often. */
 	update(members: BucketMembers, nowMs: number): void {
 		this.#advance(nowMs);
 		const {vms, silent} = members;
-		const isOverRate = this.isOverRate(0);
 		const before = this.#presentFraction;
-		for (const [vm, peer] of this.#peers) {
-			if (!vms.has(vm)) {
-				this.#peers.delete(vm);
-			} else if (silent.has(vm)) {
-				peer.isSilent = true;
-			}
+		const after = (vms.size - silent.size) / vms.size;
+		const isOverRate = after < before && this.isOverRate(0);
+		if (vms !== this.#members.vms || silent !== this.#members.silent) {
+			this.#markPeers(vms, silent);
 		}
 
 		const silentBefore = this.#members.silent;
 		this.#members = members;
-		this.#presentFraction = (vms.size - silent.size) / vms.size;
+		this.#presentFraction = after;
 		this.#poolShare = undefined;
-		if (before < minorityFraction && this.#presentFraction > before) {
+		if (before < minorityFraction && after > before) {
 			this.#adoptFrom = silentBefore;
 		}
 
@@ -181,12 +179,12 @@
 
 		if (silent.size === 0) {
 			this.#assumed = 0;
-		} else if (this.#presentFraction < before) {
+		} else if (after < before) {
 			// Silent VMs that are cut off spend their part of the tokens, and did so since their last heartbeat if the workspace is over its rate.
 			const tokens = Math.max(0, this.#tokens);
-			const spent = this.#limits.ratePerS * peerTimeoutMs / 1000 * (before - this.#presentFraction);
-			this.#assumed += (tokens * (1 - (this.#presentFraction / before))) + spent;
-			this.#tokens = Math.min(this.#tokens, Math.max(0, (tokens * this.#presentFraction / before) - (isOverRate ? spent : 0)));
+			const spent = this.#limits.ratePerS * peerTimeoutMs / 1000 * (before - after);
+			this.#assumed += (tokens * (1 - (after / before))) + spent;
+			this.#tokens = Math.min(this.#tokens, Math.max(0, (tokens * after / before) - (isOverRate ? spent : 0)));
 		}
 	}
 
@@ -316,6 +314,17 @@
 		return pooledFraction(spendableTokens(this.#limits.burst, this.#limits.toleranceCount) / this.#members.vms.size);
 	}
 
+	/** Removes peers that are no members and marks silent ones. */
+	#markPeers(vms: ReadonlySet<string>, silent: ReadonlySet<string>): void {
+		for (const [vm, peer] of this.#peers) {
+			if (!vms.has(vm)) {
+				this.#peers.delete(vm);
+			} else if (silent.has(vm)) {
+				peer.isSilent = true;
+			}
+		}
+	}
+
 	/** Sum of the shares of this VM and of the pool's other members. */
 	#findPoolShare(askedPerS: number): number {
 		let share = this.#shareOf(askedPerS);
@@ -376,17 +385,6 @@
 	}
 }
 
-/** Removes the times up to `untilMs` from the start of an ascending list; returns their number. */
-function removeUntil(timesMs: number[], untilMs: number): number {
-	let count = 0;
-	while (count < timesMs.length && timesMs[count] <= untilMs) {
-		count++;
-	}
-
-	timesMs.splice(0, count);
-	return count;
-}
-
 /** Number of requests that all VMs may admit before they know of each other's if `tokens` are left. */
 function spendableTokens(tokens: number, toleranceCount: number): number {
 	return tokens + Math.min(tokens, toleranceCount * toleranceFraction);
--- a/packages/gateway/src/limits/workspace-limiter.ts
+++ b/packages/gateway/src/limits/workspace-limiter.ts
@@ -35,7 +35,7 @@
 	/** Owners of the pools of the own failure domain. */
 	readonly pools: PoolOwners;
 	readonly #grantReports = new GrantReports();
-	#silent: ReadonlySet<string> = new Set();
+	#members: BucketMembers = {vms: new Set(), silent: new Set(), lastHeardAtMs: Number.NEGATIVE_INFINITY};
 	/** Peers by name; those never heard have no incarnation. */
 	readonly #peers = new Map<string, {incarnation: number | undefined; heardAtMs: number}>();
 	readonly #startedAtMs: number;
@@ -99,7 +99,7 @@
 		const elapsedMs = Math.max(1, nowMs - this.#sampledAtMs);
 		this.#sampledAtMs = nowMs;
 		const members = this.#findMembers(vms, nowMs);
-		this.#silent = members.silent;
+		this.#members = members;
 		for (const [name, entry] of this.#entries) {
 			const measuredPerS = entry.requestCount * 1000 / elapsedMs;
 			entry.requestCount = 0;
@@ -171,7 +171,7 @@
 		for (const [workspace, {bucket}] of this.#entries) {
 			const passed = bucket.passedToReport();
 			// A silent owner grants nothing, or is cut off and uses only its part of the bucket.
-			const owners = passed === undefined ? [] : this.pools.ownersElsewhere(workspace).filter(vm => !this.#silent.has(vm));
+			const owners = passed === undefined ? [] : this.pools.ownersElsewhere(workspace).filter(vm => !this.#members.silent.has(vm));
 			if (passed !== undefined && owners.length > 0 && this.pools.mayGrant(workspace, nowMs)) {
 				const report = {workspace, passed, owners};
 				this.#grantReports.start(report, nowMs);
@@ -266,7 +266,7 @@
 			}
 		}
 
-		return {vms, silent, lastHeardAtMs};
+		return {vms: sameOr(this.#members.vms, vms), silent: sameOr(this.#members.silent, silent), lastHeardAtMs};
 	}
 
 	#limitsOf(ratePerS: number, burst: number) {
@@ -278,3 +278,8 @@
 function round(value: number): number {
 	return Math.round(value * 10) / 10;
 }
+
+/** The set known before if the present one has the same elements. */
+function sameOr(known: ReadonlySet<string>, present: ReadonlySet<string>): ReadonlySet<string> {
+	return known.size === present.size && [...present].every(element => known.has(element)) ? known : present;
+}
