--- a/packages/gateway/src/server/client-connection.ts
+++ b/packages/gateway/src/server/client-connection.ts
@@ -32,7 +32,9 @@
 const crowdedPieceBytes = 128;
 const crowdedFraction = 1 / 8;
 /** Requests of a connection that run at once before the length of its responses is known. */
-const firstWindow = 8;
+const firstWindow = 4;
+/** Fraction of the unsent bytes of all connections beyond which a new connection runs one request at a time until it has read a response. */
+const shortFraction = 1 / 4;
 /** Assumed length of a response before a longer one was sent on the connection, in bytes. */
 const minResponseBytes = 4096;
 /** Pause after each read of a body whose request is answered already, in milliseconds. Without it, such bodies come faster than their memory is freed; with it, 6 MB/s are read, more than callers send. */
@@ -310,6 +312,7 @@
 		const {limits, totals} = this.options;
 		return others === 0
 			|| (others < (this.answeredCount === 0 ? firstWindow : limits.maxUnanswered)
+				&& (this.answeredCount > 0 || totals.unsentBytes < limits.maxUnsentBytesTotal * shortFraction)
 				&& others * this.#responseBytes < limits.maxUnsentBytes
 				&& this.#unsentBytes < limits.maxUnsentBytes
 				&& totals.unsentBytes < limits.maxUnsentBytesTotal);
