--- a/packages/gateway/src/peers/rate-pool-exchange.test.ts
+++ b/packages/gateway/src/peers/rate-pool-exchange.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createSocket} from 'node:dgram';
 import {once} from 'node:events';
-import {connect} from 'node:net';
+import {connect, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {freePorts, rendezvousOrder} from '@fescuewick/core';
@@ -73,8 +73,9 @@
 	// Until then the bucket has refilled from its start.
 	await sleep(3500);
 	const refusals = () => lines.filter(({event, status}) => event === 'request' && status === 429);
+	const departures = () => lines.filter(({event, outcome}) => event === 'request' && outcome === 'callerLeft');
 	return {
-		settings, call, requests, refusals, backend,
+		settings, call, requests, refusals, departures, backend,
 	};
 }
 
@@ -110,27 +111,22 @@
 });
 
 test('the request of a caller that leaves while a token is borrowed is not forwarded', async t => {
-	// Guards against work for callers that have closed their connection during the wait.
-	const connection: {close: () => void} = {
-		close() {
-			t.fail('no caller is connected');
-		},
-	};
-	const {settings, requests, backend} = await startWithOwner(t, reply => {
-		connection.close();
-		setTimeout(() => {
-			reply(true);
-		}, 5);
+	// Guards against work for callers whose close arrives together with the token.
+	const callers: Socket[] = [];
+	const {settings, call, requests, backend, departures} = await startWithOwner(t, reply => {
+		callers[0]?.destroy();
+		reply(true);
 	});
+	// The connection to the server is open by then, so that a request could be sent at once.
+	t.is(await statusOf(call('/check/1')), 200);
 	const [host, port] = settings.listen.entry.split(':');
 	const caller = connect(Number(port), host);
-	connection.close = () => {
-		caller.destroy();
-	};
-
+	callers.push(caller);
 	await once(caller, 'connect');
-	caller.write('GET /check/1 HTTP/1.1\r\nhost: 127.0.0.1\r\ntest-key: key-acme\r\n\r\n');
-	await waitUntil(() => requests.length === 1);
+	caller.write('GET /check/2 HTTP/1.1\r\nhost: 127.0.0.1\r\ntest-key: key-acme\r\n\r\n');
+	await waitUntil(() => requests.length === 2);
+	await waitUntil(() => departures().length > 0);
+	t.is(departures()[0].attempts, 0);
 	await sleep(300);
-	t.is(backend.requests.filter(({head}) => head.startsWith('GET /check')).length, 0);
+	t.is(backend.requests.filter(({head}) => head.startsWith('GET /check/2')).length, 0);
 });
