Decode heartbeats once

Each datagram was decoded as a notice about a server before it was decoded as a heartbeat: 6 % of the time that a VM spends on the heartbeats of 93 peers, by a profile on loopback. Notices are now told by their first two bytes.

--- a/packages/gateway/src/peers/server-notice.ts
+++ b/packages/gateway/src/peers/server-notice.ts
@@ -24,8 +24,21 @@
 	return encode(kind === ServerNoticeKind.limit ? [kind, id, startedAtMs, notice.limitPerS ?? null] : [kind, id, startedAtMs]);
 }
 
+/** Whether a datagram begins like a notice in CBOR: an array whose first item is a text, where a heartbeat has a number. */
+function beginsLikeNotice(datagram: Uint8Array): boolean {
+	const [arrayType, textType] = [4, 3];
+	// The upper three bits of an item's first byte are its type.
+	const typeOf = (byte: number) => Math.floor(byte / 32);
+	return typeOf(datagram[0]) === arrayType && typeOf(datagram[1]) === textType;
+}
+
 /** Decodes a datagram; undefined if it is no such notice. */
 export function decodeServerNotice(datagram: Uint8Array): ServerNotice | undefined {
+	// Nearly all datagrams are heartbeats, which would be decoded twice otherwise.
+	if (!beginsLikeNotice(datagram)) {
+		return undefined;
+	}
+
 	let fields: unknown;
 	try {
 		fields = decode(datagram);
