--- a/packages/bench/src/processes/untrusted-clients/fuzz.test.ts
+++ b/packages/bench/src/processes/untrusted-clients/fuzz.test.ts
@@ -2,6 +2,7 @@
 import {connect, type Socket} from 'node:net';
 import test, {registerCompletionHandler} from 'ava';
 import fc from 'fast-check';
+import {keyHeaderName} from '@fescuewick/platform/stand-ins';
 import {sleep} from '../caller.js';
 import {
 	GatewayUnderTest, host, key, Listener,
@@ -50,7 +51,7 @@
 });
 type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
 
-const head = ({path, hasKey}: Step, method = 'GET') => `${method} ${path} HTTP/1.1\r\nHost: ${host}\r\n${hasKey ? `X-Credential: ${key}\r\n` : ''}`;
+const head = ({path, hasKey}: Step, method = 'GET') => `${method} ${path} HTTP/1.1\r\nHost: ${host}\r\n${hasKey ? `${keyHeaderName}: ${key}\r\n` : ''}`;
 
 /** Clients that behave in any way; each slot holds at most one connection. */
 class FuzzClients {
--- a/packages/bench/src/processes/untrusted-clients/untrusted-clients.test.ts
+++ b/packages/bench/src/processes/untrusted-clients/untrusted-clients.test.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import test, {registerCompletionHandler, type ExecutionContext} from 'ava';
+import {keyHeaderName} from '@fescuewick/platform/stand-ins';
 import {sleep} from '../caller.js';
 import {Crowd, type Sending} from './crowd.js';
 import {
@@ -36,7 +37,7 @@
 };
 
 const get = (path: string, headers = '', hostName = host) => `GET ${path} HTTP/1.1\r\nHost: ${hostName}\r\n${headers}\r\n`;
-const keyHeader = `X-Credential: ${key}\r\n`;
+const keyHeader = `${keyHeaderName}: ${key}\r\n`;
 
 const cases: CrowdCase[] = [
 	{title: 'requests of a route without the usual headers', listener: Listener.entry, sending: {repeated: get('/check/a')}},
@@ -45,7 +46,7 @@
 	{title: 'requests of the readiness path at the front address', listener: Listener.entry, sending: {repeated: get('/ready')}},
 	{title: 'requests of a path without a route', listener: Listener.entry, sending: {repeated: get(`/nowhere/${'a'.repeat(500)}`)}},
 	{title: 'requests of a host without a route', listener: Listener.entry, sending: {repeated: get('/check/a', '', 'other.test')}},
-	{title: 'requests with unknown keys', listener: Listener.entry, sending: {repeated: get('/check/a', 'X-Credential: unknown\r\n')}},
+	{title: 'requests with unknown keys', listener: Listener.entry, sending: {repeated: get('/check/a', `${keyHeaderName}: unknown\r\n`)}},
 	{title: 'refused requests with a long request id', listener: Listener.entry, sending: {repeated: get('/nowhere', `X-Request-Id: ${'i'.repeat(8000)}\r\n`)}},
 	{title: 'a body that never ends, behind refused requests', listener: Listener.entry, sending: {first: `${get('/nowhere').repeat(200)}POST /nowhere HTTP/1.1\r\nHost: ${host}\r\nTransfer-Encoding: chunked\r\n\r\n`, repeated: '1000\r\n' + 'b'.repeat(4096) + '\r\n'}},
 	{title: 'bodies in pieces of a few bytes, behind refused requests', listener: Listener.entry, sending: {first: `${get('/nowhere').repeat(200)}POST /nowhere HTTP/1.1\r\nHost: ${host}\r\nTransfer-Encoding: chunked\r\n\r\n`, repeated: '1\r\nb\r\n'}},
