--- a/review/stand-ins-2/deployment.js
+++ b/review/stand-ins-2/deployment.js
@@ -182,7 +182,7 @@
 	/** Ends all gateways and removes the temporary folder. */
 	async end() {
 		for (const gateway of this.gateways) {
-			if (!gateway.hasEnded) {
+			if (gateway.child !== undefined && !gateway.hasEnded) {
 				gateway.child.kill('SIGKILL');
 				await once(gateway.child, 'exit');
 			}
@@ -217,6 +217,15 @@
 	recorder.write({event: 'case', disruption: hasTrouble});
 	const deployment = new Deployment(recorder);
 	let exitCode = 2;
+	process.once('SIGTERM', () => {
+		for (const {child} of deployment.gateways) {
+			child?.kill('SIGKILL');
+		}
+
+		recorder.write({event: 'interrupted'});
+		recorder.save();
+		process.exit(2);
+	});
 	try {
 		exitCode = await play(deployment, recorder) ? 0 : 1;
 	} catch (error) {
