--- a/review/6/case.js
+++ b/review/6/case.js
@@ -8,7 +8,13 @@
 import {BackendServer} from '../stand-ins-2/server.js';
 import {configurationObject, serverObject} from '../stand-ins-2/store.js';
 
-const clientCount = 12;
+const clientCount = 60;
+const clientGapMs = 90;
+const serverCount = 10;
+/** Servers that answer some uploads early: a share of 0.7. */
+const earlyServerCount = 7;
+/** Of each five uploads at such a server, the third and the fifth are answered early: a share of at most 0.4. */
+const earlyTurns = new Set([2, 4]);
 /** Longest upload of the pages' `receta-foto`. */
 const uploadBytes = 360_000;
 const pieceBytes = 20_000;
@@ -21,24 +27,38 @@
 
 await runCase(path.dirname(fileURLToPath(import.meta.url)), async (deployment, recorder) => {
 	const answeredEarly = new Set();
-	const server = new BackendServer('i-1', {
-		onHead({id, path: target}, respond) {
-			// One upload in two is accepted and one in two rejected; both answers are the server's own.
-			if (hasTrouble && target.startsWith('/upload/')) {
-				answeredEarly.add(id);
-				recorder.write({event: 'server-answered-early', id});
-				respond(Number(id.slice('upload-'.length)) % 2 === 0 ? 200 : 413, 'done');
-			}
-		},
-		onRequest({id}, respond) {
-			recorder.write({event: 'server-read', id});
-			if (!answeredEarly.has(id)) {
-				respond(200, 'done');
-			}
-		},
-	});
+	const createServer = index => {
+		let uploads = 0;
+		return new BackendServer(`i-${index}`, {
+			onHead({id, path: target}, respond) {
+				if (!hasTrouble || !target.startsWith('/upload/') || index >= earlyServerCount) {
+					return;
+				}
+
+				const turn = uploads % 5;
+				uploads++;
+				if (earlyTurns.has(turn)) {
+					answeredEarly.add(id);
+					recorder.write({event: 'server-answered-early', id, server: index});
+					// One of these uploads in two is accepted and one in two rejected; both answers are the server's own.
+					respond(turn === 2 ? 200 : 413, 'done');
+				}
+			},
+			onRequest({id}, respond) {
+				recorder.write({event: 'server-read', id, server: index});
+				if (!answeredEarly.has(id)) {
+					respond(200, 'done');
+				}
+			},
+		});
+	};
+
+	const servers = Array.from({length: serverCount}, (_, index) => createServer(index));
 	deployment.store.set('config', 'main', configurationObject({version: 7, timeoutS}));
-	deployment.store.set('servers', 'i-1', serverObject(await server.listen(), 'addis-a', 64));
+	for (const server of servers) {
+		deployment.store.set('servers', server.id, serverObject(await server.listen(), 'andes-norte', 9));
+	}
+
 	await deployment.start();
 	const [gateway] = deployment.gateways;
 
@@ -85,7 +105,7 @@
 	};
 
 	const orders = await Promise.all(Array.from({length: clientCount}, async (_, index) => {
-		await sleep(index * 100);
+		await sleep(index * clientGapMs);
 		return play(index);
 	}));
 	const sent = orders.filter(order => order !== undefined);
@@ -95,9 +115,12 @@
 
 	const lateAtTimeout = sent.filter(({isAnsweredAtTimeout}) => !isAnsweredAtTimeout).length;
 	const unanswered = sent.filter(({isAnswered}) => !isAnswered).length;
-	server.close();
+	for (const server of servers) {
+		server.close();
+	}
+
 	recorder.write({
-		event: 'count', orders: sent.length, lateAtTimeout, unanswered,
+		event: 'count', uploads: sent.length, answeredEarly: answeredEarly.size, orders: sent.length, lateAtTimeout, unanswered,
 	});
 	return unanswered * 2 <= lateAtTimeout;
 });
--- a/review/7/case.js
+++ b/review/7/case.js
@@ -30,7 +30,7 @@
 		},
 	});
 	deployment.store.set('config', 'main', configurationObject({version: 7, timeoutS: 5}));
-	deployment.store.set('servers', 'i-1', serverObject(await server.listen(), 'addis-a', 64));
+	deployment.store.set('servers', 'i-1', serverObject(await server.listen(), 'andes-norte', 64));
 	await deployment.start();
 	const [gateway] = deployment.gateways;
 
--- a/review/stand-ins-2/deployment.js
+++ b/review/stand-ins-2/deployment.js
@@ -15,27 +15,27 @@
 /** Whether the disruption of the case is to happen. */
 export const hasTrouble = process.env.TROUBLE !== '0';
 
-/** Bounds of the settings, as in the small deployments. */
+/** Bounds of the settings, those of condor-recoge-grown. */
 const bounds = {
 	graceS: 6,
 	// eslint-disable-next-line camelcase
 	ttl_max_s: 5,
 	retryBudgetRatio: 0.2,
-	retryBudgetSlack: 56,
+	retryBudgetSlack: 194,
 	budgetWindowS: 10,
 	coldOver: 1.5,
-	coldSlack: 5,
+	coldSlack: 8,
 	quotaOver: 0.1,
 	quotaWindowS: 5,
 	quotaSlack: 20,
 	shiftMost: 0.15,
-	configS: 2.5,
-	drainS: 2.5,
+	configS: 3,
+	drainS: 3,
 	evacuateS: 5,
 };
-const zones = {'addis-a': 'addis', 'tigray-a': 'tigray'};
-/** Time in which nothing is disturbed before the traffic of a case counts; `stableWindowS` is 3. */
-const calmMs = 3500;
+const zones = {'andes-norte': 'andes', 'litoral-a': 'litoral'};
+/** Time in which nothing is disturbed before the traffic of a case; `stableWindowS` is 4. */
+const calmMs = 4500;
 const startTimeoutMs = 15_000;
 
 /** Command line and settings template of the deploy file's only role. */
