--- a/review/stand-ins-2/client.js
+++ b/review/stand-ins-2/client.js
@@ -93,6 +93,7 @@
 			id: /^x-request-id: (\S+)/im.exec(head)?.[1],
 			isStamped: /^x-server-stamp:/im.test(head),
 			isClosing: /^connection: close/im.test(head),
+			saysLeaving: /^server-leaving: 1/im.test(head),
 			body: this.#received.subarray(headEnd + 4, end).toString('latin1'),
 			atMs: Date.now(),
 		});
--- a/review/stand-ins-2/deployment.js
+++ b/review/stand-ins-2/deployment.js
@@ -37,6 +37,8 @@
 /** Time in which nothing is disturbed before the traffic of a case; `stableWindowS` is 4. */
 const calmMs = 4500;
 const startTimeoutMs = 15_000;
+const firstPort = 18_000;
+const portCount = 12_000;
 
 /** Command line and settings template of the deploy file's only role. */
 function readDeployFile() {
@@ -57,14 +59,22 @@
 	});
 }
 
+/** A port that is free; outside of the range from which systems take ports for outgoing connections. */
 async function freePort() {
-	const server = createServer();
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const {port} = server.address();
-	server.close();
-	await once(server, 'close');
-	return port;
+	for (;;) {
+		const port = firstPort + Math.floor(Math.random() * portCount);
+		const server = createServer();
+		server.listen(port, '127.0.0.1');
+		try {
+			await once(server, 'listening');
+		} catch {
+			continue;
+		}
+
+		server.close();
+		await once(server, 'close');
+		return port;
+	}
 }
 
 /** A gateway process. */
@@ -163,7 +173,14 @@
 
 		await this.store.listen();
 		for (const zone of Object.keys(zones).slice(0, gatewayCount)) {
-			const ports = await Promise.all(Array.from({length: 6}, freePort));
+			const ports = [];
+			while (ports.length < 6) {
+				const port = await freePort();
+				if (!ports.includes(port) && !this.gateways.some(gateway => gateway.ports.includes(port))) {
+					ports.push(port);
+				}
+			}
+
 			this.gateways.push(new Gateway(this, `front-${zone}-1`, ports));
 			this.seeds.push(`127.0.0.1:${ports[3]}`);
 		}
--- a/review/stand-ins-2/server.js
+++ b/review/stand-ins-2/server.js
@@ -16,6 +16,7 @@
 
 /** Serves requests as `onHead` and `onRequest` say; each gets the head and a function that sends a response. */
 export class BackendServer {
+	#sockets = new Set();
 	#server = createServer(socket => {
 		this.#accept(socket);
 	});
@@ -35,10 +36,22 @@
 		this.#server.close();
 	}
 
+	/** Stops listening and closes all connections, as at the end of a process. */
+	exit() {
+		this.#server.close();
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+	}
+
 	#accept(socket) {
 		let received = Buffer.alloc(0);
 		let head;
 		let missingBytes = 0;
+		this.#sockets.add(socket);
+		socket.once('close', () => {
+			this.#sockets.delete(socket);
+		});
 		socket.on('error', () => undefined);
 		socket.on('data', chunk => {
 			received = Buffer.concat([received, chunk]);
--- a/review/stand-ins-2/store.js
+++ b/review/stand-ins-2/store.js
@@ -49,7 +49,8 @@
 		return object;
 	}
 
-	#remove(kind, name) {
+	/** Removes an object. */
+	remove(kind, name) {
 		const object = this.#ofKind(kind).get(name);
 		if (object !== undefined) {
 			this.#ofKind(kind).delete(name);
@@ -107,7 +108,7 @@
 			const object = this.#ofKind(kind).get(name);
 			send(object === undefined ? 404 : 200, object);
 		} else if (request.method === 'DELETE') {
-			this.#remove(kind, name);
+			this.remove(kind, name);
 			send(200);
 		} else {
 			const {metadata, spec} = JSON.parse(String(Buffer.concat(chunks)));
