Read on behind an upload whose server answered early

Cause: a body over 256 KiB is streamed by an iterator over the request. The HTTP client ends the iterator when the answer is complete, and nobody reads the request from then on, so Node.js pauses the socket and what comes behind the upload is never parsed. Only the gateway's own error answers read the rest of a body.

Evidence: neither a log line nor a paused connection for the missing requests, so they were not parsed. Whether it shows depends on what is left of the upload when the answer comes: 60 KB that arrive at once do no harm, 340 KB do.

Change: a connection reads and drops the rest of a body when its response is complete, whoever wrote the response. It closes instead if the rest is longer than 16 MiB, takes longer than 20 s or comes in chunks of a few bytes, which the metric of client limits counts as "unused-body". The entry daemon had the same fault and uses the same function.

--- a/packages/entry/src/forward/forwarding.test.ts
+++ b/packages/entry/src/forward/forwarding.test.ts
@@ -4,7 +4,7 @@
 import {
 	shopKey, startDeployment, testConfiguration, until, type Deployment,
 } from '../testing/deployment.js';
-import {startRawServer, type RawServer} from '../testing/raw-server.js';
+import {sendRaw, startRawServer, type RawServer} from '../testing/raw-server.js';
 
 const key = {'x-api-key': shopKey};
 const orderBody = 'one notice';
@@ -271,6 +271,22 @@
 	t.is(await answer.body.text(), 'no');
 });
 
+// Guards against a connection that is never read again because nobody reads the rest of an upload.
+test('a request behind an upload that its server answered early is answered', async t => {
+	const raw = await startRawServer((socket, text) => {
+		if (/^(?:PUT|GET) /.test(text)) {
+			socket.write(okAnswer);
+		}
+	});
+	const deployment = await startDeployment({records: () => [raw.record]});
+	t.teardown(async () => deployment.stop());
+	t.teardown(async () => raw.close());
+	const body = 'x'.repeat(4_000_000);
+	const headers = `host: a\r\nx-api-key: ${shopKey}\r\n`;
+	const received = await sendRaw(deployment.url, `PUT /check HTTP/1.1\r\n${headers}content-length: ${body.length}\r\n\r\n${body}`, `GET /check HTTP/1.1\r\n${headers}connection: close\r\n\r\n`);
+	t.deepEqual(received.match(/HTTP\/1.1 \d+/g), ['HTTP/1.1 200', 'HTTP/1.1 200']);
+});
+
 // Guards against failing a repeatable request because the server closed an idle connection.
 test('a request on a connection that the server just closed is retried, even on the same server', async t => {
 	const raw = await startRawServer((socket, _text, count) => {
--- a/packages/entry/src/http.ts
+++ b/packages/entry/src/http.ts
@@ -7,6 +7,7 @@
 export * from './request/byte-buffer.js';
 export * from './request/framing-allowance.js';
 export * from './request/read-bounded.js';
+export * from './request/unused-body.js';
 export {answerHeaders, checkHeaderNames, forwardHeaders} from './request/headers.js';
 export * from './server/close-barrier.js';
 export * from './server/stop-listening.js';
--- a/packages/entry/src/request/request-handler.ts
+++ b/packages/entry/src/request/request-handler.ts
@@ -27,6 +27,7 @@
 import {type InFlightRequests} from './in-flight-requests.js';
 import {type RateWaiter} from './rate-waiter.js';
 import {parseTarget} from './target.js';
+import {dropUnusedBody} from './unused-body.js';
 
 /** Orders use connections whose last answer is at most this old, or new ones. */
 const orderMaxIdleMs = 1000;
@@ -74,6 +75,12 @@
 		const {closeBarrier, timers, inFlight, incarnation, closing} = this.context;
 		const exchange = new Exchange(request, response, {id: `${incarnation}.${(this.#nextId++).toString(36)}`, arrivedAtMs: timers.nowMs(), closing});
 		inFlight.add(exchange);
+		response.once('prefinish', () => {
+			dropUnusedBody(request, timers, reason => {
+				this.context.logger.warn({requestId: exchange.id, reason}, 'closed the connection of a caller that goes on sending a body after the answer');
+				request.socket.destroy();
+			});
+		});
 		return new Promise(resolve => {
 			closeBarrier.run(() => {
 				resolve(this.#runToEnd(exchange, expectsContinue));
--- a/packages/gateway/src/forward/error-answer.ts
+++ b/packages/gateway/src/forward/error-answer.ts
@@ -1,20 +1,13 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {
-	errorBody, resultCodeTable, type ResultCode, type TimerService,
-} from '@fescuewick/core';
-import {RequestFraming} from '@fescuewick/entry/http';
+import {errorBody, resultCodeTable, type ResultCode} from '@fescuewick/core';
 
 /** Answers whose callers were told to send the body. */
 const continued = new WeakSet<ServerResponse>();
 
-/** Longest time for which the rest of a refused request's body is read, in milliseconds. */
-const maxDrainMs = 2000;
-
 /** An error answer of the system itself. */
 export type ErrorAnswer = {
 	readonly request: IncomingMessage;
-	readonly timers: TimerService;
 	readonly response: ServerResponse;
 	readonly code: ResultCode;
 	/** Id of the request, sent in the header `idHeader`. */
@@ -30,9 +23,9 @@
 /**
 Sends an error answer with its result code.
 
-Closing a connection whose data has not been read resets it, and the caller may lose the answer. Therefore the rest of the body is read and dropped first, unless the caller waits for a request to send it.
+Closing a connection whose data has not been read resets it, and the caller may lose the answer. Therefore a connection is closed only when the rest of the body was read, unless the caller waits for a request to send it.
 */
-export function sendError({request, response, timers, code, id, idHeader, retryMs, isClosing, message}: ErrorAnswer): void {
+export function sendError({request, response, code, id, idHeader, retryMs, isClosing, message}: ErrorAnswer): void {
 	const isBodyMissing = awaitsContinue(request, response);
 	const isBodyComing = !request.complete && !isBodyMissing;
 	const content = Buffer.from(JSON.stringify(errorBody(code, message, retryMs)));
@@ -45,8 +38,11 @@
 		...((isClosing && !isBodyComing) || isBodyMissing ? {connection: 'close'} : {}),
 	});
 	response.end(content);
-	if (isBodyComing) {
-		drainBody(request, timers, isClosing);
+	if (isBodyComing && isClosing) {
+		const {socket} = request;
+		request.once('close', () => {
+			socket.end();
+		});
 	}
 }
 
@@ -62,27 +58,3 @@
 		response.writeContinue();
 	}
 }
-
-/** Reads and drops the rest of a body for a limited time. */
-function drainBody(request: IncomingMessage, timers: TimerService, isClosing: boolean): void {
-	const {socket} = request;
-	const cancel = timers.after(maxDrainMs, () => {
-		socket.destroy();
-	});
-	request.once('close', () => {
-		cancel();
-		if (isClosing) {
-			socket.end();
-		}
-	});
-	const framing = new RequestFraming(request);
-	request.on('readable', () => {
-		for (let chunk = request.read() as Buffer | null; chunk !== null; chunk = request.read() as Buffer | null) {
-			if (framing.problem !== undefined) {
-				// Reading such a body to its end would keep the process busy, so its caller may lose the answer.
-				socket.destroy();
-				return;
-			}
-		}
-	});
-}
--- a/packages/gateway/src/forward/forwarded-request.ts
+++ b/packages/gateway/src/forward/forwarded-request.ts
@@ -351,9 +351,9 @@
 			return;
 		}
 
-		const {timers, dialect, isDraining} = context;
+		const {dialect, isDraining} = context;
 		sendError({
-			request, response, timers, code, id, retryMs: isNotRun ? retryMs ?? retryAfterMs(this.#timeLeftMs, context.random()) : undefined, idHeader: dialect.requestIdHeader, isClosing: isDraining(),
+			request, response, code, id, retryMs: isNotRun ? retryMs ?? retryAfterMs(this.#timeLeftMs, context.random()) : undefined, idHeader: dialect.requestIdHeader, isClosing: isDraining(),
 		});
 		this.#finish(code, resultCodeTable[code].httpStatus, reason);
 	}
--- a/packages/gateway/src/server/client-connection.ts
+++ b/packages/gateway/src/server/client-connection.ts
@@ -2,10 +2,12 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {nextState, type Chart, type TimerService} from '@fescuewick/core';
+import {dropUnusedBody} from '@fescuewick/entry/http';
 import chart from './client-connection.chart.json' with {type: 'json'};
 import {ClientLimit, type ClientLimits, type ClientTotals} from './client-limits.js';
 import {ParserInput} from './parser-input.js';
 import {ReaderProgress} from './reader-progress.js';
+import {UnparsedData} from './unparsed-data.js';
 
 /** Events of a client's connection. */
 enum ConnectionEvent {
@@ -46,8 +48,8 @@
 	readonly limits: ClientLimits;
 	readonly totals: ClientTotals;
 	readonly timers: TimerService;
-	/** Called when the connection is paused. */
-	readonly onPaused: (limit: ClientLimit) => void;
+	/** Called when the connection is paused or closed at a limit that it checks itself. */
+	readonly onLimit: (limit: ClientLimit) => void;
 };
 
 /**
@@ -65,9 +67,8 @@
 	readonly #unanswered = new Set<ServerResponse>();
 	/** Requests that were parsed and are handled only when responses before them are sent. */
 	readonly #waiting: Array<{readonly response: ServerResponse; readonly start: () => void}> = [];
-	readonly #unparsed: Buffer[] = [];
+	readonly #unparsed: UnparsedData;
 	readonly #input: ParserInput;
-	#unparsedBytes = 0;
 	#unsentBytes = 0;
 	/** Bytes of the last request's body that are certainly still to come. */
 	#bodyBytesLeft = 0;
@@ -88,13 +89,14 @@
 		this.#socket = socket;
 		this.activeAtMs = timers.nowMs();
 		this.#progress = new ReaderProgress(socket, timers);
+		this.#unparsed = new UnparsedData(options.totals);
 		this.#input = new ParserInput(socket, {
 			onData: data => {
 				this.#receive(data);
 			},
 			onResume: () => {
 				this.#scheduleRelease();
-				return this.#unparsed.length === 0 && !this.#isResting;
+				return this.#unparsed.isEmpty && !this.#isResting;
 			},
 		});
 		socket.once('close', () => {
@@ -112,7 +114,7 @@
 
 	/** Whether no request of the client is being read, handled or answered. */
 	get isIdle(): boolean {
-		return this.#unanswered.size === 0 && this.#unparsedBytes === 0;
+		return this.#unanswered.size === 0 && this.#unparsed.isEmpty;
 	}
 
 	get unansweredCount(): number {
@@ -129,7 +131,7 @@
 	}
 
 	get unparsedBytes(): number {
-		return this.#unparsedBytes;
+		return this.#unparsed.sizeBytes;
 	}
 
 	/** Time for which the client has taken nothing of the responses that wait for it, in milliseconds. */
@@ -147,6 +149,10 @@
 		this.options.totals.unanswered++;
 		response.once('prefinish', () => {
 			this.#measureUnsent();
+			dropUnusedBody(request, this.options.timers, () => {
+				this.options.onLimit(ClientLimit.unusedBody);
+				this.close();
+			});
 		});
 		response.once('finish', () => {
 			this.#recordSent(response);
@@ -188,7 +194,7 @@
 		}
 
 		this.activeAtMs = this.options.timers.nowMs();
-		this.#dropUnparsed();
+		this.#unparsed.drop();
 		for (const response of this.#waiting.splice(0).map(({response}) => response)) {
 			this.#unanswered.delete(response);
 			this.options.totals.unanswered--;
@@ -209,8 +215,7 @@
 			return;
 		}
 
-		this.#unparsed.push(data);
-		this.#addUnparsed(data.length);
+		this.#unparsed.append(data);
 		this.#parseOn();
 		if (this.#lastRequest?.complete === false && this.#lastResponse!.writableEnded) {
 			this.#rest();
@@ -235,33 +240,33 @@
 
 		this.#isParsing = true;
 		let limit: ClientLimit | undefined;
-		while (this.#unparsed.length > 0 && this.#hasInput && !this.#input.isPausedByServer) {
+		while (!this.#unparsed.isEmpty && this.#hasInput && !this.#input.isPausedByServer) {
 			limit = this.#reachedLimit();
 			if (limit !== undefined && this.#lastRequest?.complete !== false) {
 				break;
 			}
 
-			const piece = this.#takePiece();
+			const piece = this.#unparsed.take(Math.max(this.#isCrowded ? crowdedPieceBytes : pieceBytes, this.#bodyBytesLeft));
 			this.#bodyBytesLeft = Math.max(0, this.#bodyBytesLeft - piece.length);
 			this.#input.parse(piece);
 		}
 
 		this.#isParsing = false;
 		if (!this.#hasInput) {
-			this.#dropUnparsed();
+			this.#unparsed.drop();
 			return;
 		}
 
-		if (this.#unparsed.length > 0) {
-			this.#input.setFlowing(false);
-			if (limit !== undefined && this.#send(ConnectionEvent.limitReached)) {
-				this.options.onPaused(limit);
-			}
-		} else {
+		if (this.#unparsed.isEmpty) {
 			this.#send(ConnectionEvent.belowLimits);
 			if (!this.#input.isPausedByServer && !this.#isResting && this.#socket.isPaused()) {
 				this.#input.setFlowing(true);
 			}
+		} else {
+			this.#input.setFlowing(false);
+			if (limit !== undefined && this.#send(ConnectionEvent.limitReached)) {
+				this.options.onLimit(limit);
+			}
 		}
 	}
 
@@ -270,19 +275,10 @@
 		return this.#state !== ConnectionState.closing && !this.#socket.destroyed && !this.#socket.writableEnded;
 	}
 
-	#takePiece(): Buffer {
+	/** Whether all connections together have so many requests that few of one may be parsed at once. */
+	get #isCrowded(): boolean {
 		const {totals, limits} = this.options;
-		const first = this.#unparsed[0];
-		const isCrowded = totals.unanswered > limits.maxUnansweredTotal * crowdedFraction;
-		const sizeBytes = Math.min(first.length, Math.max(isCrowded ? crowdedPieceBytes : pieceBytes, this.#bodyBytesLeft));
-		if (sizeBytes === first.length) {
-			this.#unparsed.shift();
-		} else {
-			this.#unparsed[0] = first.subarray(sizeBytes);
-		}
-
-		this.#addUnparsed(-sizeBytes);
-		return sizeBytes === first.length ? first : first.subarray(0, sizeBytes);
+		return totals.unanswered > limits.maxUnansweredTotal * crowdedFraction;
 	}
 
 	/** The limit that the connection has reached; one without a request may always send one. */
@@ -350,7 +346,7 @@
 
 	/** Goes on with waiting requests and unparsed data in a later turn of the event loop, so that other connections are read in between. */
 	#scheduleRelease(): void {
-		if (this.#isReleaseScheduled || (this.#waiting.length === 0 && this.#unparsed.length === 0)) {
+		if (this.#isReleaseScheduled || (this.#waiting.length === 0 && this.#unparsed.isEmpty)) {
 			return;
 		}
 
@@ -377,16 +373,6 @@
 		return next !== undefined;
 	}
 
-	#addUnparsed(sizeBytes: number): void {
-		this.#unparsedBytes += sizeBytes;
-		this.options.totals.unparsedBytes += sizeBytes;
-	}
-
-	#dropUnparsed(): void {
-		this.#unparsed.length = 0;
-		this.#addUnparsed(-this.#unparsedBytes);
-	}
-
 	#drop(): void {
 		const {totals} = this.options;
 		this.#end();
--- a/packages/gateway/src/server/client-connections.ts
+++ b/packages/gateway/src/server/client-connections.ts
@@ -166,7 +166,7 @@
 			limits: this.#limits,
 			totals: this.#totals,
 			timers: this.options.timers,
-			onPaused: limit => {
+			onLimit: limit => {
 				this.#count(limit);
 				this.#boundUnparsed();
 			},
--- a/packages/gateway/src/server/client-limits.ts
+++ b/packages/gateway/src/server/client-limits.ts
@@ -25,6 +25,8 @@
 	connections = 'connections',
 	/** The connection was still open some time after its last response. */
 	lingering = 'lingering',
+	/** The rest of a body whose request is answered is too long, takes too long or comes in chunks of a few bytes. */
+	unusedBody = 'unused-body',
 }
 
 /** What all connections hold together. */
