Close a connection of a stopping VM only behind its last request

What callers saw: a caller has sent several safe requests ahead on a kept connection, and servers run them, when its VM gets SIGTERM.

Cause: while the process stops, each answer said "Connection: close", whether or not requests stood behind it. Node.js ends the connection behind such an answer, and requests of an ended connection are cancelled.

Ruled out: the grace time and aborts (the lost requests end as callerLeft, right after the first answer), and the connections to servers (they are closed after the caller's, by that cancellation).

Change: an answer closes the connection only if no request was read behind its own, and from then on none is read. A connection that ends is half-closed and read on for up to 2 s, because Node.js closes it at once and unread data then resets it. These 2 s begin with the last answer; they began with malformed data behind a running request, which was cut off then. A stop waits until answers are handed to the system. The entry daemon decides by the same rule.

--- a/packages/entry/src/drain.test.ts
+++ b/packages/entry/src/drain.test.ts
@@ -1,3 +1,4 @@
+import {connect} from 'node:net';
 import test from 'ava';
 import {Agent, request} from 'undici';
 import {createMemoryLogger} from '@fescuewick/core';
@@ -43,6 +44,34 @@
 	await t.throwsAsync(async () => request(`${deployment.url}/check`, {headers}));
 });
 
+// Guards against a connection that is closed behind one answer while servers run the requests behind it.
+test('requests that were sent ahead are answered during a drain, and none is run behind the answer that closes the connection', async t => {
+	const deployment = await startDeployment({backends: [{serviceMs: 400}], limits: {drainAcceptMs: 300}});
+	t.teardown(async () => deployment.stop());
+	const {hostname, port} = new URL(deployment.url);
+	const socket = connect({port: Number(port), host: hostname, allowHalfOpen: true});
+	let received = '';
+	socket.on('data', chunk => {
+		received += String(chunk);
+	});
+	const get = `GET /check HTTP/1.1\r\nhost: a\r\nx-api-key: ${shopKey}\r\n\r\n`;
+	socket.write(get.repeat(3));
+	await until(() => deployment.backends[0].observations.runs === 3);
+	const drain = deployment.entry.drain();
+	// The answer to a request without a route is written at once and ends the connection, so the one behind it counts as not read.
+	socket.write('GET /none HTTP/1.1\r\nhost: a\r\n\r\n');
+	await new Promise(resolve => {
+		setTimeout(resolve, 100);
+	});
+	socket.write(get);
+	await until(() => socket.readableEnded);
+	socket.end();
+	t.deepEqual(received.match(/HTTP\/1.1 \d+/g), ['HTTP/1.1 200', 'HTTP/1.1 200', 'HTTP/1.1 200', 'HTTP/1.1 404']);
+	t.is(received.match(/connection: close/gi)?.length, 1);
+	t.is(deployment.backends[0].observations.runs, 3);
+	await drain;
+});
+
 // Guards against a drain that ends before an order is answered and its outcome is reported.
 test('a drain waits for the last in-flight request', async t => {
 	const deployment = await startDeployment({backends: [{serviceMs: 500}], limits: {drainAcceptMs: 50}});
--- a/packages/entry/src/request/exchange.ts
+++ b/packages/entry/src/request/exchange.ts
@@ -15,6 +15,16 @@
 	decided = 'decided',
 }
 
+/** How a request came, and how its connection goes on. */
+export type ExchangeOrigin = {
+	readonly id: string;
+	readonly arrivedAtMs: number;
+	/** Whether connections are to be closed, because the daemon stops. */
+	readonly closing: () => boolean;
+	/** Ends the connection behind the answer if no request was read behind this one; returns whether it does. */
+	readonly endConnection: () => boolean;
+};
+
 /** A request of a caller and its answer. */
 export class Exchange {
 	match: RouteMatch | undefined;
@@ -39,7 +49,7 @@
 		}
 	};
 
-	constructor(readonly request: IncomingMessage, readonly response: ServerResponse, private readonly origin: {readonly id: string; readonly arrivedAtMs: number; readonly closing: () => boolean}) {
+	constructor(readonly request: IncomingMessage, readonly response: ServerResponse, private readonly origin: ExchangeOrigin) {
 		// The response of a request that waits behind another one on its connection has no event for the end of the connection.
 		request.socket.once('close', this.#onClose);
 	}
@@ -118,20 +128,19 @@
 			'content-type': 'application/json',
 			'content-length': String(content.length),
 			...(error.retryAfterMs === undefined ? {} : {'retry-after': String(Math.ceil(error.retryAfterMs / 1000))}),
-			// The rest of an unread body must not be parsed as the next request.
-			...(this.request.complete && error.code !== ResultCode.keyWithdrawn ? {} : {connection: 'close'}),
-		});
+		}, !this.request.complete || error.code === ResultCode.keyWithdrawn);
 		this.response.end(content);
 	}
 
-	#writeHead(status: number, headers: Record<string, string | string[]>): void {
+	/** Writes the head of an answer; `mustClose` says that the connection is to be closed although the daemon goes on, as with the rest of an unread body on it. */
+	#writeHead(status: number, headers: Record<string, string | string[]>, mustClose = false): void {
 		if (this.callerLeft) {
 			return;
 		}
 
 		headers['x-fescuewick-code'] = String(this.code);
 		headers['x-fescuewick-request-id'] = this.id;
-		if (this.origin.closing()) {
+		if ((mustClose || this.origin.closing()) && this.origin.endConnection()) {
 			headers.connection = 'close';
 		}
 
--- a/packages/entry/src/request/in-flight-requests.ts
+++ b/packages/entry/src/request/in-flight-requests.ts
@@ -7,6 +7,10 @@
 /** The in-flight requests, indexed by connection and by key. */
 export class InFlightRequests {
 	readonly #bySocket = new WeakMap<Socket, Set<Exchange>>();
+	/** The last request that was read from each connection. */
+	readonly #lastOf = new WeakMap<Socket, Exchange>();
+	/** Connections that end behind the answer to the last request. */
+	readonly #ending = new WeakSet<Socket>();
 	readonly #byKey = new Map<string, Map<Exchange, {stage: RequestStage; action: () => void}>>();
 	readonly #keyOf = new Map<Exchange, string>();
 	#count = 0;
@@ -18,6 +22,7 @@
 	add(exchange: Exchange): void {
 		this.#count++;
 		const {socket} = exchange.request;
+		this.#lastOf.set(socket, exchange);
 		const exchanges = this.#bySocket.get(socket);
 		if (exchanges === undefined) {
 			this.#bySocket.set(socket, new Set([exchange]));
@@ -33,6 +38,22 @@
 		this.#removeKey(exchange);
 	}
 
+	/** Ends the connection of a request behind its answer, if no request was read behind it; returns whether it does. Closing it behind another answer would cut off the requests that were sent ahead. */
+	endConnectionAfter(exchange: Exchange): boolean {
+		const {socket} = exchange.request;
+		if (this.#lastOf.get(socket) !== exchange) {
+			return false;
+		}
+
+		this.#ending.add(socket);
+		return true;
+	}
+
+	/** Whether requests that come on a connection count as not read, because it ends behind an answer before them. */
+	isEnding(socket: Socket): boolean {
+		return this.#ending.has(socket);
+	}
+
 	/** In-flight requests of a connection. */
 	ofSocket(socket: Socket): readonly Exchange[] {
 		return [...this.#bySocket.get(socket) ?? []];
--- a/packages/entry/src/request/request-handler.ts
+++ b/packages/entry/src/request/request-handler.ts
@@ -70,10 +70,16 @@
 		this.#decisionLogger = context.logger.child({}, {redact: ['key', 'authorization', 'idempotencyKey']});
 	}
 
-	/** Handles one request until it has ended, unless its caller turns out to have left before it was read; never rejects. */
+	/** Handles one request until it has ended, unless its caller turns out to have left before it was read, or its connection ends behind an answer before it; never rejects. */
 	async handle(request: IncomingMessage, response: ServerResponse, expectsContinue = false): Promise<void> {
 		const {closeBarrier, timers, inFlight, incarnation, closing} = this.context;
-		const exchange = new Exchange(request, response, {id: `${incarnation}.${(this.#nextId++).toString(36)}`, arrivedAtMs: timers.nowMs(), closing});
+		if (inFlight.isEnding(request.socket)) {
+			return;
+		}
+
+		const exchange: Exchange = new Exchange(request, response, {
+			id: `${incarnation}.${(this.#nextId++).toString(36)}`, arrivedAtMs: timers.nowMs(), closing, endConnection: () => inFlight.endConnectionAfter(exchange),
+		});
 		inFlight.add(exchange);
 		response.once('prefinish', () => {
 			dropUnusedBody(request, timers, reason => {
--- a/packages/gateway/src/forward/answer-writer.ts
+++ b/packages/gateway/src/forward/answer-writer.ts
@@ -1,6 +1,7 @@
 import {type Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
 import {answerHeaders, type AnswerHead} from '@fescuewick/entry/http';
+import {endConnectionAfter} from '../server/client-connections.js';
 
 /** Statuses whose answers have no body. */
 const bodylessStatuses: ReadonlySet<number> = new Set([204, 304]);
@@ -46,7 +47,7 @@
 			delete kept['content-length'];
 		}
 
-		if (this.isDraining()) {
+		if (this.isDraining() && endConnectionAfter(this.response)) {
 			kept.connection = 'close';
 		}
 
--- a/packages/gateway/src/forward/error-answer.ts
+++ b/packages/gateway/src/forward/error-answer.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {errorBody, resultCodeTable, type ResultCode} from '@fescuewick/core';
+import {endConnectionAfter} from '../server/client-connections.js';
 
 /** Answers whose callers were told to send the body. */
 const continued = new WeakSet<ServerResponse>();
@@ -15,19 +16,16 @@
 	readonly idHeader: string;
 	/** Time after which the caller should retry, in milliseconds. */
 	readonly retryMs?: number;
-	/** Whether the connection closes after the request. */
-	readonly isClosing: boolean;
+	/** Whether the process stops. */
+	readonly isDraining: boolean;
 	readonly message?: string;
 };
 
 /**
-Sends an error answer with its result code.
-
-Closing a connection whose data has not been read resets it, and the caller may lose the answer. Therefore a connection is closed only when the rest of the body was read, unless the caller waits for a request to send it.
+Sends an error answer with its result code. The connection ends behind it if the process stops, or if the caller waits for a request to send the body.
 */
-export function sendError({request, response, code, id, idHeader, retryMs, isClosing, message}: ErrorAnswer): void {
-	const isBodyMissing = awaitsContinue(request, response);
-	const isBodyComing = !request.complete && !isBodyMissing;
+export function sendError({request, response, code, id, idHeader, retryMs, isDraining, message}: ErrorAnswer): void {
+	const isClosing = (isDraining || awaitsContinue(request, response)) && endConnectionAfter(response);
 	const content = Buffer.from(JSON.stringify(errorBody(code, message, retryMs)));
 	response.writeHead(resultCodeTable[code].httpStatus, {
 		'content-type': 'application/json',
@@ -35,15 +33,9 @@
 		'x-fescuewick-code': String(code),
 		...(id === undefined ? {} : {[idHeader]: id}),
 		...(retryMs === undefined ? {} : {'retry-after': (retryMs / 1000).toFixed(2)}),
-		...((isClosing && !isBodyComing) || isBodyMissing ? {connection: 'close'} : {}),
+		...(isClosing ? {connection: 'close'} : {}),
 	});
 	response.end(content);
-	if (isBodyComing && isClosing) {
-		const {socket} = request;
-		request.once('close', () => {
-			socket.end();
-		});
-	}
 }
 
 /** Whether the caller sends the body of its request only after it was told to continue, and was not told so yet. */
--- a/packages/gateway/src/forward/forwarded-request.ts
+++ b/packages/gateway/src/forward/forwarded-request.ts
@@ -353,7 +353,7 @@
 
 		const {dialect, isDraining} = context;
 		sendError({
-			request, response, code, id, retryMs: isNotRun ? retryMs ?? retryAfterMs(this.#timeLeftMs, context.random()) : undefined, idHeader: dialect.requestIdHeader, isClosing: isDraining(),
+			request, response, code, id, retryMs: isNotRun ? retryMs ?? retryAfterMs(this.#timeLeftMs, context.random()) : undefined, idHeader: dialect.requestIdHeader, isDraining: isDraining(),
 		});
 		this.#finish(code, resultCodeTable[code].httpStatus, reason);
 	}
--- a/packages/gateway/src/server/client-connection.ts
+++ b/packages/gateway/src/server/client-connection.ts
@@ -74,6 +74,8 @@
 	#bodyBytesLeft = 0;
 	#lastRequest: IncomingMessage | undefined;
 	#lastResponse: ServerResponse | undefined;
+	/** Whether the connection ends behind `#lastResponse`. */
+	#isLastRequest = false;
 	#isResting = false;
 	#responseBytes = minResponseBytes;
 	#writtenBytes = 0;
@@ -99,6 +101,12 @@
 				return this.#unparsed.isEmpty && !this.#isResting;
 			},
 		});
+		// The HTTP server calls this behind a response that closes the connection, and would close it while the client may still send.
+		socket.destroySoon = () => {
+			this.#end();
+			socket.end();
+		};
+
 		socket.once('close', () => {
 			this.#drop();
 		});
@@ -139,8 +147,12 @@
 		return this.#progress.stalledMs;
 	}
 
-	/** Counts a request that was parsed; called before it is handled. */
+	/** Counts a request that was parsed, unless it came behind the last one; called before it is handled. */
 	recordRequest(request: IncomingMessage, response: ServerResponse): void {
+		if (this.#isLastRequest) {
+			return;
+		}
+
 		this.#lastRequest = request;
 		this.#lastResponse = response;
 		this.#bodyBytesLeft = Number(request.headers['content-length'] ?? 0) || 0;
@@ -159,8 +171,12 @@
 		});
 	}
 
-	/** Handles a request now, or when enough of the responses before it are sent. */
+	/** Handles a request now, or when enough of the responses before it are sent; one behind the last request is not handled. */
 	handle(response: ServerResponse, start: () => void): void {
+		if (!this.#unanswered.has(response)) {
+			return;
+		}
+
 		if (this.#waiting.length === 0 && this.#mayStart(this.#unanswered.size - 1)) {
 			start();
 		} else {
@@ -178,8 +194,21 @@
 	/** Drops what the client still sends, and ends the connection after the responses to the requests before, with a last response in their order. */
 	endWith(closingResponse: string): void {
 		this.#end();
-		this.#closingResponse = closingResponse;
-		this.#endIfAnswered();
+		if (!this.#isLastRequest) {
+			this.#closingResponse = closingResponse;
+			this.#endIfAnswered();
+		}
+	}
+
+	/** Ends the connection behind a response whose head is about to be written, if no request was read behind its own; returns whether it does. Requests that come later are not read. */
+	endAfter(response: ServerResponse): boolean {
+		if (response !== this.#lastResponse) {
+			return false;
+		}
+
+		this.#isLastRequest = true;
+		this.#scheduleRelease();
+		return true;
 	}
 
 	/** Closes the connection at once. */
@@ -253,7 +282,8 @@
 
 		this.#isParsing = false;
 		if (!this.#hasInput) {
-			this.#unparsed.drop();
+			// Requests behind a response that closes the connection count as not read.
+			this.#end();
 			return;
 		}
 
@@ -272,7 +302,8 @@
 
 	/** Whether the connection may still read requests. */
 	get #hasInput(): boolean {
-		return this.#state !== ConnectionState.closing && !this.#socket.destroyed && !this.#socket.writableEnded;
+		const isRequestRead = this.#isLastRequest && this.#lastRequest!.complete;
+		return !isRequestRead && this.#state !== ConnectionState.closing && !this.#socket.destroyed && !this.#socket.writableEnded;
 	}
 
 	/** Whether all connections together have so many requests that few of one may be parsed at once. */
@@ -353,13 +384,7 @@
 		this.#isReleaseScheduled = true;
 		setImmediate(() => {
 			this.#isReleaseScheduled = false;
-			if (!this.#hasInput) {
-				// Requests behind a response that closes the connection count as not read.
-				this.#end();
-				return;
-			}
-
-			while (this.#waiting.length > 0 && this.#mayStart(this.#unanswered.size - this.#waiting.length)) {
+			while (this.#hasInput && this.#waiting.length > 0 && this.#mayStart(this.#unanswered.size - this.#waiting.length)) {
 				this.#waiting.shift()!.start();
 			}
 
--- a/packages/gateway/src/server/client-connections.test.ts
+++ b/packages/gateway/src/server/client-connections.test.ts
@@ -232,3 +232,25 @@
 	t.is(statuses.at(-1), 'HTTP/1.1 200');
 	t.true(statuses.slice(1, -1).every(status => status === 'HTTP/1.1 417'));
 });
+
+test('a connection is unfinished until its response is handed to the system, unless its client takes nothing', async t => {
+	// Guards against a stop that cuts off an answer because it counts as sent when it is written, and one that waits for clients which do not read.
+	const {connect: open, server, clients} = await start(t, {maxStallMs: 10_000}, (_request, response) => {
+		response.end(Buffer.alloc(12_000_000));
+	});
+	const reader = await open();
+	reader.pause();
+	reader.write(get('/'));
+	await sleep(200);
+	t.is(clients.unfinishedCount(server), 1);
+	await sleep(1500);
+	t.is(clients.unfinishedCount(server), 0);
+	reader.resume();
+	await sleep(500);
+	t.is(clients.unfinishedCount(server), 0);
+	reader.write(get('/'));
+	await readUntil(reader, () => clients.unfinishedCount(server) === 1);
+	reader.resume();
+	await sleep(500);
+	t.is(clients.unfinishedCount(server), 0);
+});
--- a/packages/gateway/src/server/client-connections.ts
+++ b/packages/gateway/src/server/client-connections.ts
@@ -36,6 +36,11 @@
 
 const connectionOf = new WeakMap<Socket, ClientConnection>();
 
+/** Ends the connection of a response whose head is about to be written, if no request was read behind its own; returns whether it does, which the head has to say. Closing it behind another response would cut off the requests that were sent ahead. */
+export function endConnectionAfter(response: ServerResponse): boolean {
+	return connectionOf.get(response.req.socket)?.endAfter(response) ?? true;
+}
+
 /** A response that its connection counts from the moment its request is parsed, also if Node.js answers it by itself. */
 class ClientResponse extends ServerResponse {
 	constructor(...parameters: ConstructorParameters<typeof ServerResponse>) {
@@ -80,6 +85,11 @@
 		return this.#all().reduce((sum, {waitingCount}) => sum + waitingCount, 0);
 	}
 
+	/** Connections of a server with responses to send, or that have ended and were not closed by their clients yet; those whose clients take nothing are left out. */
+	unfinishedCount(server: Server): number {
+		return [...this.#byServer.get(server)!.values()].filter(({state, unansweredCount, stalledMs}) => (unansweredCount > 0 || state === ConnectionState.closing) && stalledMs <= shortStallMs).length;
+	}
+
 	/** Creates a server whose clients are bounded. Requests that wait for the client to read are handled later; `arrivedAtMs` is when they were parsed. */
 	createServer(serverOptions: ServerOptions, onRequest: RequestListener, onMalformed: MalformedListener = () => undefined): Server {
 		const {timers} = this.options;
@@ -125,7 +135,7 @@
 			connection.check();
 			if (connection.stalledMs > maxStallMs) {
 				this.#close(connection, ClientLimit.stalledReader);
-			} else if (connection.state === ConnectionState.closing && this.options.timers.nowMs() - connection.activeAtMs > lingerMs && connection.stalledMs === 0) {
+			} else if (connection.state === ConnectionState.closing && connection.unansweredCount === 0 && this.options.timers.nowMs() - connection.activeAtMs > lingerMs && connection.stalledMs === 0) {
 				this.#close(connection, ClientLimit.lingering);
 			}
 		}
--- a/packages/gateway/src/server/front-server.ts
+++ b/packages/gateway/src/server/front-server.ts
@@ -55,7 +55,7 @@
 	handler.isRefusing = true;
 	await timers.sleep(Math.min(listenAfterStopMs - acceptAfterStopMs, graceMs / 4));
 	await stopListening(server);
-	while (handler.unansweredCount + clients.waitingCount > 0 && timers.nowMs() - startedAtMs < graceMs * abandonGraceFraction) {
+	while (handler.unansweredCount + clients.unfinishedCount(server) > 0 && timers.nowMs() - startedAtMs < graceMs * abandonGraceFraction) {
 		await timers.sleep(idleCheckIntervalMs);
 	}
 
--- a/packages/gateway/src/server/request-handler.ts
+++ b/packages/gateway/src/server/request-handler.ts
@@ -243,7 +243,7 @@
 		this.#unadmitted.delete(request);
 		if (code !== ResultCode.callerLeft && !response.headersSent && !response.destroyed) {
 			sendError({
-				request, response, code, id: fields.id, idHeader: this.context.dialect.requestIdHeader, retryMs, message, isClosing: this.context.isDraining(),
+				request, response, code, id: fields.id, idHeader: this.context.dialect.requestIdHeader, retryMs, message, isDraining: this.context.isDraining(),
 			});
 		}
 
--- a/packages/gateway/src/testing/raw-client.ts
+++ b/packages/gateway/src/testing/raw-client.ts
@@ -22,7 +22,8 @@
 
 	private constructor(address: string) {
 		const {hostname, port} = new URL(`http://${address}`);
-		this.socket = connect(Number(port), hostname);
+		// The client goes on sending after the gateway has ended the connection.
+		this.socket = connect({port: Number(port), host: hostname, allowHalfOpen: true});
 		this.socket.on('data', chunk => {
 			this.#received = Buffer.concat([this.#received, chunk]);
 			this.#takeResponses();
