--- a/packages/gateway/src/server/client-connection.ts
+++ b/packages/gateway/src/server/client-connection.ts
@@ -1,33 +1,16 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
-import {nextState, type Chart, type TimerService} from '@fescuewick/core';
+import {type TimerService} from '@fescuewick/core';
 import {dropUnusedBody} from '@fescuewick/entry/http';
-import chart from './client-connection.chart.json' with {type: 'json'};
 import {ClientLimit, type ClientLimits, type ClientTotals} from './client-limits.js';
+import {
+	ConnectionEvent, ConnectionState, initialConnectionState, nextConnectionState,
+} from './connection-state.js';
 import {ParserInput} from './parser-input.js';
 import {ReaderProgress} from './reader-progress.js';
 import {UnparsedData} from './unparsed-data.js';
 
-/** Events of a client's connection. */
-enum ConnectionEvent {
-	limitReached = 'limitReached',
-	belowLimits = 'belowLimits',
-	ended = 'ended',
-}
-
-/** State of a client's connection. */
-export enum ConnectionState {
-	/** Requests are read as they come. */
-	open = 'open',
-	/** A limit is reached; nothing is read. */
-	paused = 'paused',
-	/** The connection ends; what it still sends is dropped. */
-	closing = 'closing',
-}
-
-const connectionChart = chart as Chart;
-
 /** Bytes handed to the HTTP parser at once; it emits all requests in them, the shortest of which have 18 bytes. */
 const pieceBytes = 2048;
 /** The same while all connections together have more than `crowdedFraction` of the requests that they may have. */
@@ -79,7 +62,7 @@
 	#isResting = false;
 	#responseBytes = minResponseBytes;
 	#writtenBytes = 0;
-	#state = connectionChart.initial as ConnectionState;
+	#state = initialConnectionState;
 	/** Sent after the responses to all requests when the connection ends because of what the client sent. */
 	#closingResponse: string | undefined;
 	#isParsing = false;
@@ -393,7 +376,7 @@
 	}
 
 	#send(event: ConnectionEvent): boolean {
-		const next = nextState(connectionChart, this.#state, event) as ConnectionState | undefined;
+		const next = nextConnectionState(this.#state, event);
 		this.#state = next ?? this.#state;
 		return next !== undefined;
 	}
--- a/packages/gateway/src/server/client-connections.ts
+++ b/packages/gateway/src/server/client-connections.ts
@@ -6,10 +6,11 @@
 import {Gauge} from 'prom-client';
 import {type Logger, type Metrics, type TimerService} from '@fescuewick/core';
 import {type GatewaySettings} from '../settings.js';
-import {ClientConnection, ConnectionState} from './client-connection.js';
+import {ClientConnection} from './client-connection.js';
 import {
 	ClientLimit, ClientTotals, completeClientLimits, type ClientLimits,
 } from './client-limits.js';
+import {ConnectionState} from './connection-state.js';
 
 /** Connections that a listener may have even if all listeners together have too many, so that readiness can be asked while callers take all connections. */
 const reservedConnections = 16;
