Let callers of the soak send requests ahead

The soak's callers waited for each answer before the next request, so no run could show that a planned stop cuts off requests that were sent ahead. One call in five now sends three repeatable requests on a connection of its own and never sends one of them again; undici would send those again whose connection ends behind an earlier answer, and hide the loss.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -2,6 +2,7 @@
 import {callerHeaders} from '@fescuewick/platform/stand-ins';
 import {Client} from 'undici';
 import {type ObservedRequest} from './observations.js';
+import {sendAhead} from './requests-ahead.js';
 
 /** Time limit of a request, in milliseconds. */
 export const requestTimeLimitMs = 3000;
@@ -9,6 +10,9 @@
 const abortMarginMs = 2000;
 /** Number of different objects in the paths of requests. */
 const objectCount = 200;
+/** Repeatable requests that a caller sends at times without waiting for the answers before, on a connection of their own. */
+const aheadCount = 3;
+const aheadFraction = 0.2;
 
 /** A VM to which callers send requests. */
 export type Target = {readonly name: string; readonly address: string};
@@ -32,7 +36,7 @@
 
 	constructor(private readonly options: CallersOptions) {}
 
-	/** Adds callers of a workspace that each send one request at a time, with a random pause of `pauseMs` on average. */
+	/** Adds callers of a workspace that each send one request at a time, or some ahead, with a random pause of `pauseMs` on average. */
 	add(workspace: string, count: number, pauseMs: number, untilMs = Number.POSITIVE_INFINITY): void {
 		for (let index = 0; index < count; index++) {
 			this.#loops.push(this.#loop(workspace, pauseMs, untilMs));
@@ -53,9 +57,9 @@
 				pipelining: 1, connect: {timeout: 1000}, headersTimeout: 0, bodyTimeout: 0,
 			});
 			for (let isUsable = true; isUsable && !this.#isEnded && timers.nowMs() < untilMs;) {
-				const request = await this.#send(client, target, workspace);
-				this.requests.push(request);
-				isUsable = request.error === undefined;
+				const requests = random() < aheadFraction ? await this.#sendAhead(target, workspace) : [await this.#send(client, target, workspace)];
+				this.requests.push(...requests);
+				isUsable = requests.every(({error}) => error === undefined);
 				await timers.sleep(pauseMs * 2 * random());
 			}
 
@@ -63,6 +67,29 @@
 		}
 	}
 
+	/** Sends repeatable requests one behind the other; those without an answer are not sent again. */
+	async #sendAhead({name: vm, address}: Target, workspace: string): Promise<ObservedRequest[]> {
+		const {timers, host, keyOf, random} = this.options;
+		const key = keyOf(workspace);
+		const sentAtMs = timers.nowMs();
+		const ids = Array.from({length: aheadCount}, () => `soak-${++this.#count}`);
+		const heads = ids.map(id => {
+			const object = `o${Math.floor(random() * objectCount)}`;
+			const headers = {
+				host, ...callerHeaders({
+					id, key, timeLeftMs: requestTimeLimitMs, object,
+				}),
+			};
+			return `GET /check/${object} HTTP/1.1\r\n${Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')}\r\n`;
+		});
+		const answers = await sendAhead({
+			address, heads, timeoutMs: requestTimeLimitMs + abortMarginMs, nowMs: () => timers.nowMs(),
+		});
+		return answers.map(({status, code, error, endedAtMs}, index) => ({
+			id: ids[index], vm, workspace, key, isRepeatable: true, sentAtMs, timeLimitMs: requestTimeLimitMs, endedAtMs, status, code, error,
+		}));
+	}
+
 	async #send(client: Client, {name: vm}: Target, workspace: string): Promise<ObservedRequest> {
 		const {timers, host, keyOf, random} = this.options;
 		const number = ++this.#count;
