--- a/packages/gateway/src/server/client-connection.ts
+++ b/packages/gateway/src/server/client-connection.ts
@@ -57,8 +57,8 @@
 	#bodyBytesLeft = 0;
 	#lastRequest: IncomingMessage | undefined;
 	#lastResponse: ServerResponse | undefined;
-	/** Whether the connection ends behind `#lastResponse`. */
-	#isLastRequest = false;
+	/** Whether the connection ends behind `#lastResponse`, so that no further request is read. */
+	#endsAfterLastResponse = false;
 	#isResting = false;
 	#responseBytes = minResponseBytes;
 	#writtenBytes = 0;
@@ -132,7 +132,7 @@
 
 	/** Counts a request that was parsed, unless it came behind the last one; called before it is handled. */
 	recordRequest(request: IncomingMessage, response: ServerResponse): void {
-		if (this.#isLastRequest) {
+		if (this.#endsAfterLastResponse) {
 			return;
 		}
 
@@ -177,7 +177,7 @@
 	/** Drops what the client still sends, and ends the connection after the responses to the requests before, with a last response in their order. */
 	endWith(closingResponse: string): void {
 		this.#end();
-		if (!this.#isLastRequest) {
+		if (!this.#endsAfterLastResponse) {
 			this.#closingResponse = closingResponse;
 			this.#endIfAnswered();
 		}
@@ -189,7 +189,7 @@
 			return false;
 		}
 
-		this.#isLastRequest = true;
+		this.#endsAfterLastResponse = true;
 		this.#scheduleRelease();
 		return true;
 	}
@@ -285,7 +285,7 @@
 
 	/** Whether the connection may still read requests. */
 	get #hasInput(): boolean {
-		const isRequestRead = this.#isLastRequest && this.#lastRequest!.complete;
+		const isRequestRead = this.#endsAfterLastResponse && this.#lastRequest!.complete;
 		return !isRequestRead && this.#state !== ConnectionState.closing && !this.#socket.destroyed && !this.#socket.writableEnded;
 	}
 
