--- a/review/stand-ins-3/connection.js
+++ b/review/stand-ins-3/connection.js
@@ -77,12 +77,13 @@
 	}
 }
 
-function format({method = 'GET', path, host, id, deadlineMs, body}) {
+function format({method = 'GET', path, host, id, deadlineMs, body, headers = {}}) {
 	return [
 		`${method} ${path} HTTP/1.1`,
 		`Host: ${host}`,
 		`X-Request-Id: ${id}`,
 		`X-Deadline-Ms: ${deadlineMs}`,
+		...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
 		...(body === undefined ? [] : [`Content-Length: ${Buffer.byteLength(body)}`]),
 		'',
 		body ?? '',
--- a/review/stand-ins-3/server.js
+++ b/review/stand-ins-3/server.js
@@ -24,9 +24,9 @@
 	});
 
 	/** `work` returns the time and the length of an answer by the path of the request; `spoil` may break an answer off. */
-	constructor({id, service, zone, slots = 8, work, spoil = () => false}) {
+	constructor({id, service, zone, slots = 8, work, spoil = () => false, extraHeaders = {}}) {
 		Object.assign(this, {
-			id, service, zone, slots, work, spoil,
+			id, service, zone, slots, work, spoil, extraHeaders,
 		});
 		this.http.keepAliveTimeout = idleTimeoutMs;
 	}
@@ -92,7 +92,7 @@
 
 		const body = id.repeat(Math.ceil(bytes / id.length)).slice(0, bytes);
 		response.writeHead(200, {
-			...headers, ...load(), 'x-server-stamp': `${this.id}.${id}`, 'content-length': String(bytes),
+			...headers, ...load(), ...this.extraHeaders, 'x-server-stamp': `${this.id}.${id}`, 'content-length': String(bytes),
 		});
 		if (this.spoil(request.url)) {
 			response.write(body.slice(0, Math.floor(bytes * 0.8)), () => {
