--- a/review/stand-ins-3/connection.js
+++ b/review/stand-ins-3/connection.js
@@ -44,6 +44,29 @@
 		return promises;
 	}
 
+	/** Reads no faster than this for some time, and as fast as it can then. */
+	readAtMost(bytesPerS, durationMs) {
+		const stepMs = 20;
+		const {socket} = this;
+		socket.removeAllListeners('data');
+		socket.pause();
+		let allowedBytes = 0;
+		const endsAtMs = performance.now() + durationMs;
+		const timer = setInterval(() => {
+			allowedBytes = performance.now() > endsAtMs ? Number.MAX_SAFE_INTEGER : Math.min(bytesPerS, allowedBytes + (bytesPerS * stepMs / 1000));
+			// The stream ends only once all of it was read.
+			const data = socket.read(Math.min(Math.floor(allowedBytes), socket.readableLength)) ?? socket.read(0);
+			if (data !== null) {
+				allowedBytes -= data.length;
+				this.#received.push(data);
+				this.#read();
+			}
+		}, stepMs);
+		socket.once('close', () => {
+			clearInterval(timer);
+		});
+	}
+
 	close() {
 		this.socket.destroy();
 	}
